--- /dev/null
+++ b/internal/benchwire/decode.go
@@ -0,0 +1,171 @@
+// Package benchwire reads and writes the bench's wire and decodes its settings.
+package benchwire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"streamrail/policy"
+)
+
+var outcomes = map[string]policy.Outcome{
+	"0": policy.Fulfilled, "13": policy.Errored, "8": policy.TurnedAway, "4": policy.TimedOut,
+	"14": policy.ConnectFailed, "10": policy.Reset, "1": policy.Cancelled, "9": policy.NeverSent,
+	"5": policy.Missed,
+}
+
+var listKinds = map[string]policy.ListKind{
+	"update": policy.ListUpdate, "replace": policy.ListReplace,
+	"restored": policy.ListRestored, "unavailable": policy.ListUnavailable,
+}
+
+var conditions = map[string]policy.Condition{"U": policy.Up, "L": policy.Draining, "D": policy.Gone}
+
+var effects = map[string]policy.Effect{
+	"idempotent": policy.Idempotent, "deduplicated": policy.Deduplicated,
+	"at_most_once": policy.NonIdempotent,
+}
+
+var groups = map[string]policy.Group{
+	"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
+}
+
+// fields reads the values of one line and remembers the first that is malformed.
+type fields struct {
+	parts []string
+	err   error
+}
+
+func (f *fields) fail(what, v string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("malformed %s %q", what, v)
+	}
+}
+
+// text is the i-th value, "" where it is absent.
+func (f *fields) text(i int) string {
+	if i >= len(f.parts) || f.parts[i] == "-" {
+		return ""
+	}
+	return f.parts[i]
+}
+
+func (f *fields) must(i int) string {
+	if v := f.text(i); v != "" {
+		return v
+	}
+	f.fail("line, lacking a value", strings.Join(f.parts, " "))
+	return ""
+}
+
+func (f *fields) number(i int) int64 {
+	v := f.text(i)
+	if v == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		f.fail("number", v)
+	}
+	return n
+}
+
+func (f *fields) nanos(i int) policy.Nanos { return policy.Nanos(f.number(i)) }
+
+func pick[T any](f *fields, what string, of map[string]T, v string) T {
+	t, ok := of[v]
+	if !ok {
+		f.fail(what, v)
+	}
+	return t
+}
+
+func (f *fields) entry() policy.Entry {
+	e := policy.Entry{
+		Cache: policy.CacheID(f.must(1)), Zone: policy.Zone(f.number(2)), Kind: policy.Kind(f.number(3)),
+		Cell: policy.Cell(f.number(4)), Condition: pick(f, "condition", conditions, f.text(5)),
+		Size: 1, Born: f.nanos(7),
+	}
+	if v := f.text(6); v != "" {
+		size, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			f.fail("size", v)
+		}
+		e.Size = size
+	}
+	return e
+}
+
+func (f *fields) call() policy.Call {
+	bits := f.number(4)
+	return policy.Call{
+		ID: policy.CallID(f.must(2)), Customer: policy.Customer(f.number(3)), Key: policy.Key(f.text(5)),
+		Repeat: bits&2 != 0, Write: bits&4 != 0, Left: f.nanos(6), Product: policy.Product(f.number(9)),
+	}
+}
+
+func (f *fields) ending() policy.Ending {
+	code, known := outcomes[f.text(5)]
+	if !known {
+		code = policy.Unknown
+	}
+	return policy.Ending{
+		Call: policy.CallID(f.must(2)), Shot: int(f.number(3)), Final: f.text(4) == "1", Outcome: code,
+		Took: f.nanos(6), Note: int(f.number(7)), Cache: policy.CacheID(f.must(8)),
+	}
+}
+
+// terms decodes the settings; what it does not know it skips.
+func (f *fields) terms() policy.Terms {
+	pairs := map[string]string{}
+	for _, p := range f.parts {
+		if path, v, ok := strings.Cut(p, "="); ok && v != "-" {
+			pairs[path] = v
+		}
+	}
+	num := func(path string, absent float64) float64 {
+		v, ok := pairs[path]
+		if !ok {
+			return absent
+		}
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			f.fail(path, v)
+		}
+		return n
+	}
+	span := func(path string) policy.Nanos { return policy.Nanos(num(path, 0)) }
+	t := policy.Terms{
+		Balancers: max(1, int(num("balancers", 1))), Zone: policy.Zone(num("locality", 0)),
+		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
+		OriginKind: policy.Kind(num("extra.originKind", -1)), SecondCopies: pairs["caps.secondCopies"] == "true",
+		MayCancel: pairs["caps.mayCancel"] == "true", MayProbe: pairs["caps.probes"] == "true",
+		MostShots: int(num("caps.mostShots", 1)),
+		LiveSizes: pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
+		ColdFrom: num("rules.coldFrom", 0.1), RampTime: span("rules.rampTimeNs"),
+		FallMultiple: num("rules.fallMultiple", 1), FallWindow: span("rules.fallNs"),
+		DrainGrace: span("rules.drainGraceNs"), AskEvery: span("rules.askEveryNs"), Tick: span("tickNs"),
+	}
+	if pairs["caps.retryAfter"] == "true" {
+		t.MaxComeBack = span("caps.maxRetryAfterNs")
+	}
+	for i := range int(num("products.count", 0)) {
+		at := fmt.Sprintf("products.%d.", i)
+		p := policy.ProductTerms{
+			LatencySLO: span(at + "latencySloNs"), ClientTimeout: span(at + "clientTimeoutNs"),
+			BilledValue: num(at+"billedValue", 1), OverdueValue: num(at+"overdueBilledValue", 0),
+			Effect: pick(f, "effect", effects, pairs[at+"effect"]), Window: span(at + "windowNs"),
+		}
+		if g := pairs[at+"group"]; g != "" {
+			p.Group = pick(f, "group", groups, g)
+		}
+		t.Products = append(t.Products, p)
+	}
+	for i := range int(num("customers.count", 0)) {
+		t.Customers = append(t.Customers, policy.CustomerTerms{
+			AllowancePerS: num(fmt.Sprintf("customers.%d.allowancePerS", i), 0),
+		})
+	}
+	return t
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,1070 @@
+// Package policy decides where each API call goes. A Balancer is made by New with the Terms of its
+// deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
+// Probed, Streaming, Abandoned, Woke), and it acts by calling the Host it was made with. Both are
+// declared in types.go. It is not safe for concurrent use, keeps no clock and shares nothing.
+//
+// Reading order: the ordinary path (Arrived, next, Ended), the ring, the copies by profit, then what
+// may be repeated, the origin, cold hosts, health, limits, the list.
+package policy
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+// Balancer holds what one balancer knows.
+type Balancer struct {
+	host     Host
+	terms    Terms
+	seed     uint64
+	draws    uint64
+	caches   map[CacheID]*cache
+	byID     []*cache // all of the caches that are up, in the order of their ids; never the origin
+	origin   *cache   // nil where it is not listed
+	ring     []point
+	unit     float64          // listed size that gets the nominal number of points
+	ofKind   map[Kind]float64 // stands for the listed size where that follows the load
+	calls    map[CallID]*call
+	fetching map[Key]*call // the API call that asks the origin for a key, and those that wait for it
+	table    keyTable
+	buckets  []allowance
+	topValue float64
+	pace     Nanos // how long a shot at a cache takes lately
+	all      meter // shots at caches, good and bad
+	warmDone meter // shots that warm caches ended well
+	further  meter // further shots that were fulfilled, and that were not
+	backoff  Nanos // before the next try to follow the list
+	retrying bool
+}
+
+// cache is a cache host, or the origin.
+type cache struct {
+	Entry
+	weight    float64
+	out       int // this balancer's shots that have not ended
+	busySince Nanos
+	lastEnded Nanos
+	limit     float64 // shots out that it is seen to bear
+	cutAt     Nanos
+	probedAt  Nanos
+	health    meter
+	sent      meter // while cold
+}
+
+type call struct {
+	Call
+	terms    *ProductTerms
+	began    Nanos
+	end      Nanos
+	shots    []shot
+	out      int
+	over     bool
+	stream   bool
+	above    bool   // beyond its customer's allowance
+	waiting  bool   // held until another API call's fetch ends
+	waited   bool   // it has been held once
+	missedAt *cache // where it missed last
+	fetch    bool   // the others with its key wait for it
+	behind   []*call
+}
+
+type shot struct {
+	at   *cache
+	sent Nanos
+	out  bool
+	ran  bool // may have run
+}
+
+// New makes a balancer that starts with nothing; its list follows by Listed.
+func New(host Host, terms Terms, seed uint64) *Balancer {
+	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
+		ofKind: map[Kind]float64{}, calls: map[CallID]*call{}, fetching: map[Key]*call{},
+		table: keyTable{at: map[Key]int{}}, buckets: make([]allowance, len(terms.Customers))}
+	b.all.width, b.warmDone.width, b.further.width = healthSlot, healthSlot, healthSlot
+	for i := range terms.Products {
+		b.topValue = max(b.topValue, terms.Products[i].BilledValue)
+	}
+	if terms.MustSubscribe {
+		host.Subscribe()
+	}
+	host.Wake(beatEvery, "beat")
+	return b
+}
+
+// Arrived takes an API call; from here on it is owed one final answer.
+func (b *Balancer) Arrived(in Call) {
+	now := b.host.Now()
+	c := &call{Call: in, terms: &b.terms.Products[in.Product], began: now}
+	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
+	c.end = now + max(0, in.Left-2*b.terms.Tick)
+	b.calls[in.ID] = c
+	b.host.Wake(c.end-now, WakeID("e"+in.ID))
+	c.above = b.beyondAllowance(c)
+	b.count(c)
+	b.start(c)
+}
+
+// start makes the first shot: writes that caches do not take go to the origin, all else by the ring.
+func (b *Balancer) start(c *call) {
+	if b.terms.Aside && c.Write {
+		b.askOrigin(c)
+		return
+	}
+	if to := b.next(c); to != nil {
+		b.send(c, to)
+		return
+	}
+	b.giveUp(c)
+}
+
+// next picks the cache for the next shot: the nearest copy, else the home, else the successors.
+// A later pass drops a wish, never a bound: cold hosts, limits and hosts already asked stay out.
+func (b *Balancer) next(c *call) *cache {
+	path := b.path(c)
+	mean := 0.0
+	for _, h := range b.byID {
+		mean += float64(h.out)
+	}
+	mean /= float64(max(1, len(b.byID)))
+	for pass := range 3 {
+		busy := 0
+		for _, h := range path {
+			if busy > reach || c.asked(h) || !b.coldMayTake(h, c) {
+				continue
+			}
+			if pass < 2 && !b.trusted(h, c) {
+				continue
+			}
+			// The design's yield: two or more above this balancer's mean goes to the next.
+			if pass == 0 && float64(h.out) >= mean+2 {
+				busy++
+				continue
+			}
+			if float64(h.out) >= b.bearable(h, c) {
+				busy++
+				continue
+			}
+			return h
+		}
+	}
+	return nil
+}
+
+// reach is how many busy hosts a key is carried past. Farther, an overload would spread every key over
+// every cache and the misses would add the origin to the trouble. Three is as many as share a home's keys.
+const reach = 3
+
+func (c *call) asked(h *cache) bool {
+	return slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
+}
+
+func (b *Balancer) send(c *call, to *cache) {
+	now := b.host.Now()
+	if to.out == 0 {
+		to.busySince = now
+	}
+	to.out++
+	to.sent.add(now, 1, 0)
+	c.shots = append(c.shots, shot{at: to, sent: now, out: true})
+	c.out++
+	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
+	if to != b.origin {
+		b.host.Wake(b.patience(c), WakeID("p"+c.ID))
+	}
+}
+
+// Ended takes the outcome of a shot.
+func (b *Balancer) Ended(e Ending) {
+	now := b.host.Now()
+	h, c := b.caches[e.Cache], b.calls[e.Call]
+	if h != nil {
+		h.out = max(0, h.out-1)
+		h.lastEnded = now
+	}
+	if c == nil || e.Shot < 0 || e.Shot >= len(c.shots) || !c.shots[e.Shot].out {
+		return
+	}
+	s := &c.shots[e.Shot]
+	s.out, s.ran = false, mayHaveRun(e.Outcome)
+	c.out--
+	if h != nil {
+		b.learn(h, c, e)
+	}
+	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == nil {
+		if e.Outcome == Fulfilled {
+			b.further.add(now, 1, 0)
+		} else {
+			b.further.add(now, 0, 1)
+		}
+	}
+	if s.at == b.origin && c.fetch {
+		b.release(c, e.Outcome == Fulfilled)
+	}
+	if e.Final || e.Outcome == Fulfilled || c.over {
+		b.finish(c)
+		return
+	}
+	if e.Outcome == Missed {
+		c.missedAt = s.at
+		b.missed(c, e.Note)
+		return
+	}
+	if c.out == 0 {
+		b.again(c, s.at)
+	}
+}
+
+// again makes a further shot after one that failed, or gives up.
+func (b *Balancer) again(c *call, failed *cache) {
+	now := b.host.Now()
+	if now >= c.began+c.terms.LatencySLO && c.terms.OverdueValue == 0 || !b.furtherPays() {
+		b.giveUp(c)
+		return
+	}
+	if failed == b.origin {
+		b.askOrigin(c)
+		return
+	}
+	if to := b.next(c); to != nil && b.mayRepeat(c, to) {
+		b.send(c, to)
+		return
+	}
+	b.giveUp(c)
+}
+
+// furtherPays draws whether a further shot is made: as often as recent ones were fulfilled, so that in an
+// overload, where they are not, they stop feeding it. One in twenty is always made, to see it end.
+func (b *Balancer) furtherPays() bool {
+	good, bad := b.further.faded(b.host.Now())
+	return b.chance() < max(0.05, (good+4)/(good+bad+4))
+}
+
+// patience is how long a shot is left alone before its host is looked at: four looks within the SLO.
+func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/4) }
+
+// impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
+// answers nothing (a hang), or fails its peers' standard, loses the shot while there is time for another.
+func (b *Balancer) impatient(c *call) {
+	now := b.host.Now()
+	if c.stream || c.out == 0 || now >= c.began+c.terms.LatencySLO {
+		return
+	}
+	i := len(c.shots) - 1
+	for !c.shots[i].out {
+		i--
+	}
+	at := c.shots[i].at
+	if at == b.origin {
+		return
+	}
+	slow := b.terms.SecondCopies && now-c.shots[i].sent >= c.terms.LatencySLO/2
+	if (b.silent(at) || slow) && b.furtherPays() {
+		if b.terms.SecondCopies {
+			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
+				b.send(c, to)
+				return
+			}
+		} else if b.terms.MayCancel && c.terms.Effect != NonIdempotent {
+			b.host.Cancel(c.ID, i) // its outcome leads to again
+			return
+		}
+	}
+	b.host.Wake(b.patience(c), WakeID("p"+c.ID))
+}
+
+// giveUp ends an API call that gets no answer: at once, so that the client can act.
+func (b *Balancer) giveUp(c *call) {
+	if c.over {
+		return
+	}
+	if b.mayRateLimit(c) {
+		b.host.RateLimit(c.ID, b.comeBack(c))
+	} else {
+		b.host.Error(c.ID)
+	}
+	b.finish(c)
+}
+
+// comeBack spreads returning clients: within the SLO if there is time, else as late as they will honour.
+func (b *Balancer) comeBack(c *call) Nanos {
+	left := c.began + c.terms.LatencySLO - b.host.Now()
+	if left <= 0 || c.Repeat || c.above {
+		left = b.terms.MaxComeBack
+	}
+	return min(b.terms.MaxComeBack, Nanos(float64(left)*(0.3+0.4*b.chance())))
+}
+
+// finish forgets an API call once all of its shots have ended; until then they still teach.
+func (b *Balancer) finish(c *call) {
+	if !c.over {
+		c.over = true
+		for i, s := range c.shots {
+			if s.out && b.terms.MayCancel && !c.stream {
+				b.host.Cancel(c.ID, i)
+			}
+		}
+		if c.fetch { // a leader that leaves must not strand those behind it
+			b.release(c, false)
+		}
+	}
+	if c.out == 0 {
+		delete(b.calls, c.ID)
+	}
+}
+
+// Abandoned hears that the client has left.
+func (b *Balancer) Abandoned(id CallID) {
+	if c := b.calls[id]; c != nil && !c.over {
+		b.finish(c)
+	}
+}
+
+// Streaming hears that an answer has begun; it has no client timeout any more.
+func (b *Balancer) Streaming(id CallID) {
+	if c := b.calls[id]; c != nil {
+		c.stream = true
+	}
+}
+
+// Woke gets back what Host.Wake was given.
+func (b *Balancer) Woke(id WakeID) {
+	switch id {
+	case "beat":
+		b.beat()
+		return
+	case "list":
+		b.retrying = false
+		b.host.Subscribe()
+		return
+	}
+	c := b.calls[CallID(id[1:])]
+	if c == nil || c.over {
+		return
+	}
+	switch {
+	case id[0] == 'e' && !c.stream:
+		b.giveUp(c)
+	case id[0] == 'p':
+		b.impatient(c)
+	case id[0] == 'w' && c.waiting:
+		c.waiting = false
+		b.afterWait(c)
+	}
+}
+
+// ---- what may be repeated
+
+// mayHaveRun: an outcome not known here proves nothing.
+func mayHaveRun(o Outcome) bool {
+	return o != TurnedAway && o != ConnectFailed && o != NeverSent && o != Missed
+}
+
+// mayRepeat is the one place that says whether a shot may be sent now, given those before it.
+func (b *Balancer) mayRepeat(c *call, to *cache) bool {
+	if len(c.shots) >= b.terms.MostShots || c.over || c.out > 1 || c.out == 1 && !b.terms.SecondCopies {
+		return false
+	}
+	if c.terms.Effect == Idempotent {
+		return true
+	}
+	for _, s := range c.shots {
+		if !s.out && !s.ran {
+			continue
+		}
+		// A second effect: non-idempotent never again, deduplicated only where the repeat is recognised.
+		if c.terms.Effect == NonIdempotent || b.host.Now()-s.sent >= c.terms.Window ||
+			c.terms.Group == GroupZone && s.at.Zone != to.Zone ||
+			c.terms.Group == GroupCell && s.at.Cell != to.Cell {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRateLimit: the reply promises that a retry is harmless.
+func (b *Balancer) mayRateLimit(c *call) bool {
+	for _, s := range c.shots {
+		if (s.out || s.ran) && (c.terms.Effect == NonIdempotent ||
+			c.terms.Effect == Deduplicated &&
+				(c.terms.Group != GroupAll || b.host.Now()-s.sent >= c.terms.Window)) {
+			return false
+		}
+	}
+	return true
+}
+
+// ---- the ring
+
+type point struct {
+	hash uint64
+	at   *cache
+}
+
+// hash is FNV-1a with a finaliser: plain FNV leaves similar short names close together on the ring.
+func hash(s string, n uint64) uint64 {
+	f := fnv.New64a()
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], n)
+	f.Write([]byte(s))
+	f.Write(buf[:])
+	h := f.Sum64()
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func (b *Balancer) chance() float64 {
+	b.draws++
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], b.seed)
+	return float64(hash(string(buf[:]), b.draws)>>11) / (1 << 53)
+}
+
+// points is the number of virtual nodes of a host of nominal size: enough that shares stray by a tenth.
+const points = 100
+
+// rebuild lays the ring anew. It is equal at every balancer, so nothing of the instance enters it.
+func (b *Balancer) rebuild() {
+	b.byID, b.ring = b.byID[:0], b.ring[:0]
+	for _, h := range b.caches {
+		if h != b.origin && h.Condition == Up {
+			b.byID = append(b.byID, h)
+		}
+	}
+	slices.SortFunc(b.byID, func(x, y *cache) int { return cmp.Compare(x.Cache, y.Cache) })
+	for _, h := range b.byID {
+		n := min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
+		for i := range n {
+			b.ring = append(b.ring, point{hash(string(h.Cache), uint64(i)), h})
+		}
+	}
+	slices.SortFunc(b.ring, func(x, y point) int {
+		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.at.Cache, y.at.Cache))
+	})
+}
+
+// successors are all caches in the order in which the ring meets them from the key on; the first is its home.
+func (b *Balancer) successors(k Key) []*cache {
+	var met []*cache
+	if len(b.ring) == 0 {
+		return nil
+	}
+	at := hash(string(k), 0)
+	i, _ := slices.BinarySearchFunc(b.ring, at, func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
+	for n := 0; n < len(b.ring) && len(met) < len(b.byID); n++ {
+		if h := b.ring[(i+n)%len(b.ring)].at; !slices.Contains(met, h) {
+			met = append(met, h)
+		}
+	}
+	return met
+}
+
+// path is the order in which caches are asked: a read's nearest copy first, then home and successors.
+func (b *Balancer) path(c *call) []*cache {
+	k := c.Key
+	if k == "" {
+		k = Key(c.ID)
+	}
+	met := b.successors(k)
+	if u := b.table.find(k); u != nil && !c.Write && len(met) > 0 {
+		b.weigh(u, met)
+		i := slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
+		if i > 0 && b.nearer(met[i], met[0]) {
+			h := met[i]
+			copy(met[1:i+1], met[:i])
+			met[0] = h
+		}
+	}
+	return met
+}
+
+// ---- copies by profit
+
+// hop is the cost of reaching a cache: the design's one in the zone and three across.
+func (b *Balancer) hop(h *cache) float64 {
+	if h.Zone == b.terms.Zone {
+		return 1
+	}
+	return 3
+}
+
+func (b *Balancer) nearer(x, y *cache) bool {
+	if hx, hy := b.hop(x), b.hop(y); hx != hy {
+		return hx < hy
+	}
+	return x.Cache < y.Cache
+}
+
+// weigh makes or drops this balancer's copy of a key: the first successor in its own zone, by profit.
+func (b *Balancer) weigh(u *keyUse, met []*cache) {
+	if u.copyAt != "" {
+		return
+	}
+	i := slices.IndexFunc(met, func(h *cache) bool { return h.Zone == b.terms.Zone })
+	if i > 0 && b.profit(u, met[0], met[i]) > b.threshold() {
+		u.copyAt = met[i].Cache
+	}
+}
+
+// profit is Estimate Profit: a write costs the copy one refill.
+func (b *Balancer) profit(u *keyUse, nearest, candidate *cache) float64 {
+	reads, writes := u.sum()
+	return reads*b.hop(nearest) - reads*b.hop(candidate) - writes*b.hop(candidate)
+}
+
+func (b *Balancer) threshold() float64 {
+	return b.table.reads() / float64(max(1, len(b.byID))) * (3 - 1)
+}
+
+const (
+	keySlots  = 6 // the design's six slots of two seconds
+	keySlot   = 2 * Second
+	tableSize = 4096 // keys; some ten times what one balancer reads twice in twelve seconds here
+	tableLook = 8    // keys looked at for one to put out
+)
+
+// keyUse counts this balancer's reads and writes of one key.
+type keyUse struct {
+	key    Key
+	read   [keySlots]uint32
+	write  [keySlots]uint32
+	copyAt CacheID
+}
+
+type keyTable struct {
+	at    map[Key]int
+	use   []keyUse
+	slot  int
+	hand  int
+	total [keySlots]float64
+}
+
+func (u *keyUse) sum() (reads, writes float64) {
+	for i := range keySlots {
+		reads += float64(u.read[i])
+		writes += float64(u.write[i])
+	}
+	return reads, writes
+}
+
+func (t *keyTable) reads() (sum float64) {
+	for _, n := range t.total {
+		sum += n
+	}
+	return sum
+}
+
+func (t *keyTable) find(k Key) *keyUse {
+	if i, ok := t.at[k]; ok {
+		return &t.use[i]
+	}
+	return nil
+}
+
+// admit finds room for a key. When the table is full the least used of the next few gives way, and only if
+// it was used once: a flood of keys wanted once then turns over its own entries and not the ones that matter.
+func (t *keyTable) admit(k Key) *keyUse {
+	i := len(t.use)
+	if i < tableSize {
+		t.use = append(t.use, keyUse{})
+	} else {
+		least := math.Inf(1)
+		for range tableLook {
+			t.hand = (t.hand + 1) % tableSize
+			reads, writes := t.use[t.hand].sum()
+			if n := reads + writes; n < least && t.use[t.hand].copyAt == "" {
+				i, least = t.hand, n
+			}
+		}
+		if least > 1 {
+			return nil
+		}
+		delete(t.at, t.use[i].key)
+	}
+	t.use[i] = keyUse{key: k}
+	t.at[k] = i
+	return &t.use[i]
+}
+
+func (b *Balancer) count(c *call) {
+	t := &b.table
+	if !c.Write {
+		t.total[t.slot]++
+	}
+	if c.Key == "" {
+		return
+	}
+	u := t.find(c.Key)
+	if u == nil {
+		u = t.admit(c.Key)
+	}
+	if u == nil {
+		return
+	}
+	if c.Write {
+		u.write[t.slot]++
+	} else {
+		u.read[t.slot]++
+	}
+}
+
+// rotate starts the next slot: copies under half the threshold and keys not used any more go.
+func (b *Balancer) rotate(slot int) {
+	t := &b.table
+	t.slot = slot
+	t.total[slot] = 0
+	for i := range t.use {
+		t.use[i].read[slot], t.use[i].write[slot] = 0, 0
+	}
+	least := b.threshold() / 2
+	for i := 0; i < len(t.use); i++ {
+		u := &t.use[i]
+		if u.copyAt != "" {
+			met := b.successors(u.key)
+			at := b.caches[u.copyAt]
+			if len(met) == 0 || at == nil || at.Condition != Up || b.profit(u, met[0], at) < least {
+				u.copyAt = ""
+			}
+		}
+		if reads, writes := u.sum(); reads+writes == 0 {
+			delete(t.at, u.key)
+			last := len(t.use) - 1
+			if i < last {
+				t.use[i] = t.use[last]
+				t.at[t.use[i].key] = i
+			}
+			t.use = t.use[:last]
+			i--
+		}
+	}
+}
+
+// ---- the origin, where caches answer a miss
+
+// missed goes on with a read that a cache lacks: behind a fetch of the same key, or to the origin.
+func (b *Balancer) missed(c *call, note int) {
+	if lead := b.fetching[c.Key]; lead != nil && !c.waited && c.Key != "" {
+		lead.behind = append(lead.behind, c)
+		b.wait(c, c.terms.LatencySLO/2)
+		return
+	}
+	if note == 3 && !c.waited && len(c.shots)+2 < b.terms.MostShots {
+		b.wait(c, c.terms.LatencySLO/4) // another balancer's API call fetches it: ask the cache again
+		return
+	}
+	b.askOrigin(c)
+}
+
+func (b *Balancer) wait(c *call, most Nanos) {
+	c.waiting, c.waited = true, true
+	b.host.Wake(most, WakeID("w"+c.ID))
+}
+
+// release lets go of those behind a fetch: to the cache that now has the value, or to the origin.
+func (b *Balancer) release(lead *call, stored bool) {
+	lead.fetch = false
+	if b.fetching[lead.Key] == lead {
+		delete(b.fetching, lead.Key)
+	}
+	behind := lead.behind
+	lead.behind = nil
+	for _, c := range behind {
+		if c.over || !c.waiting {
+			continue
+		}
+		c.waiting = false
+		if !stored {
+			c.waited = false
+			b.missed(c, 0)
+		} else {
+			c.missedAt = lead.missedAt
+			b.afterWait(c)
+		}
+	}
+}
+
+// afterWait asks the cache that missed once more.
+func (b *Balancer) afterWait(c *call) {
+	h := c.missedAt
+	if h.Condition == Up && b.mayRepeat(c, h) && float64(h.out) < h.limit && b.coldMayTake(h, c) &&
+		len(c.shots)+1 < b.terms.MostShots {
+		b.send(c, h)
+		return
+	}
+	b.askOrigin(c)
+}
+
+// askOrigin sends to the origin as much as it is seen to bear; reads leave a quarter of that to writes.
+// What it could not answer in time is rate-limited at once: queued reads would come late and keep it slow.
+func (b *Balancer) askOrigin(c *call) {
+	o := b.origin
+	if o == nil || o.Condition != Up || !b.mayRepeat(c, o) {
+		b.giveUp(c)
+		return
+	}
+	most := o.limit
+	if !c.Write {
+		most = max(1, 0.75*most)
+	}
+	if float64(o.out) >= most {
+		b.giveUp(c)
+		return
+	}
+	if !c.Write && c.Key != "" && b.fetching[c.Key] == nil {
+		b.fetching[c.Key] = c
+		c.fetch = true
+	}
+	b.send(c, o)
+}
+
+// ---- cold hosts
+
+// warmth is the share of its capacity that a host has at the least, by the time since its start.
+func (b *Balancer) warmth(h *cache) float64 {
+	age := b.host.Now() - h.Born
+	if h.Born == 0 || age >= b.terms.RampTime {
+		return 1
+	}
+	return b.terms.ColdFrom + (1-b.terms.ColdFrom)*max(0, float64(age))/float64(b.terms.RampTime)
+}
+
+// coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, and under it a
+// budget: this balancer's part of what would push it over, guessed from what warm hosts do for it.
+func (b *Balancer) coldMayTake(h *cache, c *call) bool {
+	w := b.warmth(h)
+	if w == 1 {
+		return true
+	}
+	k := c.Key
+	if k == "" {
+		k = Key(c.ID)
+	}
+	if float64(hash(string(h.Cache)+string(k), 1)>>11)/(1<<53) >= w {
+		return false
+	}
+	return h.sent.total(b.host.Now()) < b.coldBudget(h, w)
+}
+
+// coldSafety: the guess takes all warm hosts to be half idle or less, and API calls differ in work.
+const coldSafety = 0.5
+
+func (b *Balancer) coldBudget(h *cache, w float64) float64 {
+	now, weight := b.host.Now(), 0.0
+	for _, o := range b.byID {
+		if b.warmth(o) == 1 {
+			weight += o.weight
+		}
+	}
+	if weight == 0 {
+		return 1
+	}
+	perS := b.warmDone.total(now) / (float64(meterSlots) * healthSlot.seconds()) * h.weight / weight
+	return max(1, coldSafety*b.terms.FallMultiple*w*perS*b.terms.FallWindow.seconds())
+}
+
+// ---- health
+
+const (
+	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
+	beatEvery  = 100 * Millisecond  // the finest time in which anything here is decided anew
+	probeEvery = 500 * Millisecond  // a doubtful host is probed twice a second: a few probes in a hundred calls
+)
+
+// learn takes a shot's outcome into the host's health, its limit and the fleet's pace.
+func (b *Balancer) learn(h *cache, c *call, e Ending) {
+	now, slo := b.host.Now(), c.terms.LatencySLO
+	good, bad := 0.0, 0.0
+	switch e.Outcome {
+	case Fulfilled, Missed:
+		if e.Took <= slo {
+			good = 1
+		} else {
+			bad = 1
+		}
+	case Cancelled:
+		if e.Took >= slo/2 {
+			bad = 1
+		}
+	case TurnedAway, NeverSent:
+	default:
+		bad = 1
+	}
+	h.health.add(now, good, bad)
+	late := bad > 0 || e.Outcome == TurnedAway || e.Took > slo*8/10
+	switch {
+	case late && now-h.cutAt > slo/2:
+		h.limit = max(1, h.limit*0.8)
+		h.cutAt = now
+	case !late && good > 0 && float64(h.out+1) >= h.limit/2:
+		h.limit = min(mostOut, h.limit+1/h.limit)
+	}
+	if h == b.origin {
+		return
+	}
+	b.all.add(now, good, bad)
+	if good > 0 {
+		b.pace += (e.Took - b.pace) / 32
+		if b.warmth(h) == 1 {
+			b.warmDone.add(now, 1, 0)
+		}
+	}
+}
+
+// silent tells a hang before the first time-out: shots out, and none ended for many times the usual pace.
+func (b *Balancer) silent(h *cache) bool {
+	return h.out > 0 && b.host.Now()-max(h.lastEnded, h.busySince) > max(50*Millisecond, 5*b.pace)
+}
+
+// trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
+// troubles all (a slow origin, an overload) blames no single host. Work that cannot be repeated takes no draw.
+func (b *Balancer) trusted(h *cache, c *call) bool {
+	now := b.host.Now()
+	good, bad := h.health.faded(now)
+	if b.silent(h) {
+		bad += 2 * float64(h.out)
+	}
+	if bad == 0 {
+		return true
+	}
+	allGood, allBad := b.all.faded(now)
+	bar := 0.75 * (allGood + 4) / (allGood + allBad + 4)
+	x, n := good+1, good+bad+1
+	mean := x / n
+	if c.terms.Effect == NonIdempotent {
+		return mean >= bar
+	}
+	z := (b.chance() + b.chance() + b.chance() + b.chance() - 2) * math.Sqrt(3)
+	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
+}
+
+// ---- limits and fairness
+
+const (
+	firstOut = 16  // shots at one host before anything is known: several a core, far from most queues
+	mostOut  = 256 // more than any host here was seen to need
+)
+
+// bearable is how many shots a host may have out for this API call to be added. Under pressure the traffic
+// beyond an allowance stops at half of what the host bears, and cheap products a little before dear ones.
+func (b *Balancer) bearable(h *cache, c *call) float64 {
+	n := h.limit
+	if c.above {
+		n /= 2
+	} else if c.terms.BilledValue < b.topValue/2 {
+		n *= 0.85
+	}
+	return max(1, n)
+}
+
+type allowance struct {
+	tokens float64
+	at     Nanos
+}
+
+// beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst.
+func (b *Balancer) beyondAllowance(c *call) bool {
+	if int(c.Customer) >= len(b.buckets) {
+		return false
+	}
+	rate := b.terms.Customers[c.Customer].AllowancePerS / float64(b.terms.Balancers)
+	if rate <= 0 {
+		return false
+	}
+	a, now := &b.buckets[c.Customer], b.host.Now()
+	if a.at == 0 {
+		a.tokens = rate
+	} else {
+		a.tokens = min(max(1, rate), a.tokens+rate*(now-a.at).seconds())
+	}
+	a.at = now
+	if a.tokens < 1 {
+		return true
+	}
+	a.tokens--
+	return false
+}
+
+// ---- the list
+
+// Listed takes what discovery tells.
+func (b *Balancer) Listed(kind ListKind, entries []Entry) {
+	if kind == ListUnavailable {
+		b.followAgain()
+		return
+	}
+	if kind != ListRestored {
+		b.backoff = 0
+	}
+	named := map[CacheID]bool{}
+	changed := b.size(entries)
+	for _, e := range entries {
+		named[e.Cache] = true
+		changed = b.note(e) || changed
+	}
+	if kind != ListUpdate {
+		for id, h := range b.caches {
+			if !named[id] && h.Condition != Gone {
+				h.Condition = Gone
+				changed = true
+			}
+		}
+	}
+	if changed {
+		b.rebuild()
+	}
+}
+
+// followAgain tries again to follow the list: waits grow and are jittered, lest all balancers call together.
+func (b *Balancer) followAgain() {
+	if !b.terms.MustSubscribe || b.retrying {
+		return
+	}
+	b.retrying = true
+	b.backoff = min(max(250*Millisecond, 2*b.backoff), max(b.terms.AskEvery/4, 250*Millisecond))
+	b.host.Wake(Nanos(float64(b.backoff)*(0.5+b.chance()/2)), "list")
+}
+
+// size fixes what a listed size counts for: by kind where sizes follow the load, and in units of a power of
+// two, so that balancers that start at other times lay the same ring.
+func (b *Balancer) size(entries []Entry) bool {
+	if b.terms.LiveSizes {
+		for _, e := range entries {
+			if e.Condition == Up && e.Size > b.ofKind[e.Kind] && b.unit == 0 {
+				b.ofKind[e.Kind] = e.Size
+			}
+		}
+	}
+	top := 0.0
+	for _, e := range entries {
+		if e.Kind != b.terms.OriginKind {
+			top = max(top, e.Size)
+		}
+	}
+	if b.unit != 0 || top <= 0 {
+		return false
+	}
+	b.unit = math.Exp2(math.Floor(math.Log2(top)))
+	return true
+}
+
+// note takes one entry; it tells whether the ring is touched.
+func (b *Balancer) note(e Entry) bool {
+	h := b.caches[e.Cache]
+	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
+	if h == nil || e.Born != h.Born {
+		fresh := &cache{Entry: e, limit: firstOut, weight: b.weight(e)}
+		fresh.health.width, fresh.sent.width = healthSlot, max(1, b.terms.FallWindow/(meterSlots-1))
+		if h != nil {
+			fresh.out, fresh.busySince, fresh.lastEnded = h.out, h.busySince, h.lastEnded
+			fresh.Condition = Gone
+		} else {
+			fresh.Condition = Gone
+		}
+		h = fresh
+		b.caches[e.Cache] = h
+		if b.terms.Aside && e.Kind == b.terms.OriginKind {
+			b.origin = h
+			h.Born = 0
+		}
+	}
+	changed := h.Condition != e.Condition
+	h.Condition = e.Condition
+	return changed
+}
+
+func (b *Balancer) weight(e Entry) float64 {
+	w := e.Size
+	if b.terms.LiveSizes {
+		if b.ofKind[e.Kind] == 0 {
+			b.ofKind[e.Kind] = e.Size
+		}
+		w = math.Exp2(math.Round(2*math.Log2(b.ofKind[e.Kind])) / 2)
+	}
+	if b.terms.SizesEqual || !(w > 0) {
+		w = max(b.unit, 1)
+	}
+	return w
+}
+
+// beat does what is due by time alone.
+func (b *Balancer) beat() {
+	now := b.host.Now()
+	b.host.Wake(beatEvery, "beat")
+	if slot := int(now / keySlot % keySlots); slot != b.table.slot {
+		b.rotate(slot)
+	}
+	if !b.terms.MayProbe {
+		return
+	}
+	for _, h := range b.byID {
+		good, bad := h.health.faded(now)
+		if bad > good && now-h.probedAt >= probeEvery {
+			h.probedAt = now
+			b.host.Probe(h.Cache)
+		}
+	}
+}
+
+// Probed takes the end of a probe. A failure counts; a success shows little more than that the process runs,
+// so it only halves a doubt, by adding to what went well.
+func (b *Balancer) Probed(id CacheID, o Outcome) {
+	h := b.caches[id]
+	if h == nil {
+		return
+	}
+	if o == Fulfilled {
+		h.health.add(b.host.Now(), 0.25, 0)
+	} else {
+		h.health.add(b.host.Now(), 0, 1)
+	}
+}
+
+// ---- measuring over time
+
+const meterSlots = 8
+
+// meter sums two things in slots of time that are used again in a ring.
+type meter struct {
+	width Nanos
+	slots [meterSlots]struct {
+		turn      Nanos
+		good, bad float64
+	}
+}
+
+func (m *meter) add(now Nanos, good, bad float64) {
+	turn := now / m.width
+	s := &m.slots[turn%meterSlots]
+	if s.turn != turn {
+		s.turn, s.good, s.bad = turn, 0, 0
+	}
+	s.good += good
+	s.bad += bad
+}
+
+// faded sums the slots, the older the less.
+func (m *meter) faded(now Nanos) (good, bad float64) {
+	for _, s := range m.slots {
+		if age := now/m.width - s.turn; age < meterSlots {
+			f := 1 - float64(age)/meterSlots
+			good += f * s.good
+			bad += f * s.bad
+		}
+	}
+	return good, bad
+}
+
+// total sums the good of all slots.
+func (m *meter) total(now Nanos) (good float64) {
+	for _, s := range m.slots {
+		if now/m.width-s.turn < meterSlots {
+			good += s.good
+		}
+	}
+	return good
+}
+
+func (n Nanos) seconds() float64 { return float64(n) / float64(Second) }
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,155 @@
+package policy
+
+// Nanos is a time in whole nanoseconds: a span, or a reading of the host's clock.
+type Nanos int64
+
+const (
+	Millisecond Nanos = 1_000_000
+	Second      Nanos = 1_000_000_000
+)
+
+type (
+	CallID   string // one API call; a client's next try has a new one
+	CacheID  string // a cache host, or the origin where it is listed
+	Key      string // what an API call is about; empty if it names nothing
+	WakeID   string // handed to Host.Wake and back to Balancer.Wake
+	Product  int    // index in Terms.Products
+	Customer int    // index in Terms.Customers
+	Zone     int
+	Kind     int // kind of machine
+	Cell     int
+)
+
+// Host is all that a Balancer can do and ask. A call to it takes effect at once.
+type Host interface {
+	Now() Nanos
+	Send(call CallID, to CacheID, timeout Nanos)
+	Cancel(call CallID, shot int)
+	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
+	Error(call CallID)                     // final; promises nothing
+	Probe(cache CacheID)
+	Subscribe()
+	Wake(after Nanos, id WakeID)
+}
+
+// Outcome is how a shot or a probe ended.
+type Outcome int
+
+const (
+	Fulfilled Outcome = iota
+	Errored
+	TurnedAway
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	NeverSent
+	Missed
+	Unknown
+)
+
+type Effect int
+
+const (
+	Idempotent Effect = iota
+	Deduplicated
+	NonIdempotent
+)
+
+// Group names the cache hosts that drop repeats of a deduplicated API call.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+type Condition int
+
+const (
+	Up Condition = iota
+	Draining
+	Gone
+)
+
+type ListKind int
+
+const (
+	ListUpdate ListKind = iota
+	ListReplace
+	ListRestored
+	ListUnavailable
+)
+
+// Entry is one line of the list of cache hosts.
+type Entry struct {
+	Cache     CacheID
+	Zone      Zone
+	Kind      Kind
+	Cell      Cell
+	Condition Condition
+	Size      float64
+	Born      Nanos // clock time of its last start, 0: long ago
+}
+
+// Call is an API call as it reaches the balancer.
+type Call struct {
+	ID       CallID
+	Customer Customer
+	Product  Product
+	Key      Key
+	Write    bool
+	Repeat   bool  // a client's further try, where clients mark them
+	Left     Nanos // until the client gives up this try
+}
+
+// Ending is the outcome of one shot.
+type Ending struct {
+	Call    CallID
+	Shot    int
+	Final   bool // the API call is over
+	Outcome Outcome
+	Took    Nanos
+	Note    int // 1 hit, 2 miss, 3 miss while another API call fetches the key
+	Cache   CacheID
+}
+
+type ProductTerms struct {
+	LatencySLO    Nanos
+	ClientTimeout Nanos
+	BilledValue   float64
+	OverdueValue  float64 // share of the billed value granted after the SLO
+	Effect        Effect
+	Group         Group
+	Window        Nanos
+}
+
+type CustomerTerms struct {
+	AllowancePerS float64 // over all balancers together
+}
+
+// Terms is what a deployment fixes for one balancer when it starts.
+type Terms struct {
+	Balancers     int
+	Zone          Zone
+	Products      []ProductTerms
+	Customers     []CustomerTerms
+	MustSubscribe bool
+	Aside         bool // caches answer a miss; the balancer asks the origin
+	OriginKind    Kind // -1: the origin is not listed
+	SecondCopies  bool
+	MayCancel     bool
+	MayProbe      bool
+	MostShots     int
+	MaxComeBack   Nanos // 0: clients take no advice
+	LiveSizes     bool  // listed sizes follow the load
+	SizesEqual    bool  // listed sizes say nothing
+	ColdFrom      float64
+	RampTime      Nanos
+	FallMultiple  float64
+	FallWindow    Nanos
+	DrainGrace    Nanos
+	AskEvery      Nanos
+	Tick          Nanos
+}
