--- a/internal/benchwire/decode.go
+++ b/internal/benchwire/decode.go
@@ -140,7 +140,7 @@
 		Balancers: max(1, int(num("balancers", 1))), Zone: policy.Zone(num("locality", 0)),
 		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
 		OriginKind: policy.Kind(num("extra.originKind", -1)), SecondCopies: pairs["caps.secondCopies"] == "true",
-		MayCancel: pairs["caps.mayCancel"] == "true", MayProbe: pairs["caps.probes"] == "true",
+		MayCancel: pairs["caps.mayCancel"] == "true",
 		MostShots: int(num("caps.mostShots", 1)),
 		LiveSizes: pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
 		ColdFrom: num("rules.coldFrom", 0.1), RampTime: span("rules.rampTimeNs"),
--- a/internal/benchwire/link.go
+++ b/internal/benchwire/link.go
@@ -128,13 +128,7 @@
 		b.Woke(policy.WakeID(f.must(2)))
 	case "STREAMING":
 		b.Streaming(policy.CallID(f.must(2)))
-	case "CHECKED":
-		code, known := outcomes[f.text(2)]
-		if !known {
-			code = policy.Unknown
-		}
-		b.Probed(policy.CacheID(f.must(3)), code)
-	case "WHISPER":
+	case "CHECKED", "WHISPER": // nothing here probes or talks to other balancers
 	default:
 		f.fail("event", f.parts[0])
 	}
@@ -191,9 +185,8 @@
 func (in *instance) RateLimit(c policy.CallID, comeBack policy.Nanos) {
 	in.write("REFUSE", string(c), whole(comeBack))
 }
-func (in *instance) Error(c policy.CallID)      { in.write("FAIL", string(c)) }
-func (in *instance) Probe(cache policy.CacheID) { in.write("SAMPLE", string(cache)) }
-func (in *instance) Subscribe()                 { in.write("STREAM_CHANGES", "1") }
+func (in *instance) Error(c policy.CallID) { in.write("FAIL", string(c)) }
+func (in *instance) Subscribe()            { in.write("STREAM_CHANGES", "1") }
 func (in *instance) Wake(after policy.Nanos, id policy.WakeID) {
 	in.write("SLEEP", whole(after), string(id))
 }
--- /dev/null
+++ b/policy/meter.go
@@ -0,0 +1,46 @@
+package policy
+
+const meterSlots = 8
+
+// meter sums two things in slots of time that are used again in a ring.
+type meter struct {
+	width Nanos
+	slots [meterSlots]struct {
+		turn      Nanos
+		good, bad float64
+	}
+}
+
+func (m *meter) add(now Nanos, good, bad float64) {
+	turn := now / m.width
+	s := &m.slots[turn%meterSlots]
+	if s.turn != turn {
+		s.turn, s.good, s.bad = turn, 0, 0
+	}
+	s.good += good
+	s.bad += bad
+}
+
+// faded sums the slots, the older the less.
+func (m *meter) faded(now Nanos) (good, bad float64) {
+	for _, s := range m.slots {
+		if age := now/m.width - s.turn; age < meterSlots {
+			f := 1 - float64(age)/meterSlots
+			good += f * s.good
+			bad += f * s.bad
+		}
+	}
+	return good, bad
+}
+
+// total sums the good of all slots.
+func (m *meter) total(now Nanos) (good float64) {
+	for _, s := range m.slots {
+		if now/m.width-s.turn < meterSlots {
+			good += s.good
+		}
+	}
+	return good
+}
+
+func (n Nanos) seconds() float64 { return float64(n) / float64(Second) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // Package policy decides where each API call goes. A Balancer is made by New with the Terms of its
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
-// Probed, Streaming, Abandoned, Woke), and it acts by calling the Host it was made with. Both are
-// declared in types.go. It is not safe for concurrent use, keeps no clock and shares nothing.
+// Streaming, Abandoned, Woke), and it acts by calling the Host it was made with. Both are declared in types.go.
+// It is not safe for concurrent use, keeps no clock and shares nothing.
 //
 // Reading order: the ordinary path (Arrived, next, Ended), the ring, the copies by profit, then what
 // may be repeated, the origin, cold hosts, health, limits, the list.
@@ -17,58 +17,52 @@
 
 // Balancer holds what one balancer knows.
 type Balancer struct {
-	host     Host
-	terms    Terms
-	seed     uint64
-	draws    uint64
-	caches   map[CacheID]*cache
-	byID     []*cache // all of the caches that are up, in the order of their ids; never the origin
-	origin   *cache   // nil where it is not listed
-	ring     []point
-	unit     float64          // listed size that gets the nominal number of points
-	ofKind   map[Kind]float64 // stands for the listed size where that follows the load
-	calls    map[CallID]*call
-	fetching map[Key]*call // the API call that asks the origin for a key, and those that wait for it
-	table    keyTable
-	buckets  []allowance
-	topValue float64
-	pace     Nanos // how long a shot at a cache takes lately
-	all      meter // shots at caches, good and bad
-	warmDone meter // shots that warm caches ended well
-	further  meter // further shots that were fulfilled, and that were not
-	backoff  Nanos // before the next try to follow the list
-	retrying bool
+	host                   Host
+	terms                  Terms
+	seed, draws            uint64
+	caches                 map[CacheID]*cache
+	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
+	origin                 *cache   // nil where it is not listed
+	ring                   []point
+	unit                   float64          // listed size that gets the nominal number of points
+	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
+	calls                  map[CallID]*call
+	fetching               map[Key]*call // the API call that asks the origin for a key
+	table                  keyTable
+	allowances             []allowance
+	tempos                 []tempo
+	topValue, squeeze      float64
+	pace                   float64 // how long shots at caches take lately
+	all, warmDone, further meter   // shots at caches, fulfilments by warm ones, further shots
+	backoff                Nanos   // before the next try to follow the list
+	retrying               bool
 }
 
 // cache is a cache host, or the origin.
 type cache struct {
 	Entry
-	weight    float64
-	out       int // this balancer's shots that have not ended
-	busySince Nanos
-	lastEnded Nanos
-	limit     float64 // shots out that it is seen to bear
-	cutAt     Nanos
-	probedAt  Nanos
-	health    meter
-	sent      meter // while cold
+	weight               float64
+	out                  int // this balancer's shots that have not ended
+	busySince, lastEnded Nanos
+	limit, stretch       float64 // shots out that it is seen to bear, and how stretched their times are
+	cutAt                Nanos
+	rest, restUntil      Nanos
+	health, sent         meter
 }
 
 type call struct {
 	Call
-	terms    *ProductTerms
-	began    Nanos
-	end      Nanos
-	shots    []shot
-	out      int
-	over     bool
-	stream   bool
-	above    bool   // beyond its customer's allowance
-	waiting  bool   // held until another API call's fetch ends
-	waited   bool   // it has been held once
-	missedAt *cache // where it missed last
-	fetch    bool   // the others with its key wait for it
-	behind   []*call
+	terms        *ProductTerms
+	began        Nanos
+	shots        []shot
+	out          int
+	over, stream bool
+	above        bool   // beyond its customer's allowance
+	waiting      bool   // held until another API call's fetch ends
+	waited       bool   // it has been held once
+	missedAt     *cache // where it missed last
+	fetch        bool   // it asks the origin, those behind it wait
+	behind       []*call
 }
 
 type shot struct {
@@ -82,7 +76,8 @@
 func New(host Host, terms Terms, seed uint64) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
 		ofKind: map[Kind]float64{}, calls: map[CallID]*call{}, fetching: map[Key]*call{},
-		table: keyTable{at: map[Key]int{}}, buckets: make([]allowance, len(terms.Customers))}
+		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
+		tempos: make([]tempo, len(terms.Products))}
 	b.all.width, b.warmDone.width, b.further.width = healthSlot, healthSlot, healthSlot
 	for i := range terms.Products {
 		b.topValue = max(b.topValue, terms.Products[i].BilledValue)
@@ -99,24 +94,28 @@
 	now := b.host.Now()
 	c := &call{Call: in, terms: &b.terms.Products[in.Product], began: now}
 	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
-	c.end = now + max(0, in.Left-2*b.terms.Tick)
+	b.host.Wake(max(0, in.Left-2*b.terms.Tick), WakeID("e"+in.ID))
 	b.calls[in.ID] = c
-	b.host.Wake(c.end-now, WakeID("e"+in.ID))
-	c.above = b.beyondAllowance(c)
 	b.count(c)
-	b.start(c)
-}
-
-// start makes the first shot: writes that caches do not take go to the origin, all else by the ring.
-func (b *Balancer) start(c *call) {
-	if b.terms.Aside && c.Write {
+	c.above = b.beyondAllowance(c)
+	switch {
+	case c.above && b.chance() < b.squeeze:
+		b.giveUp(c)
+	case b.terms.Aside && c.Write: // caches do not take writes here
 		b.askOrigin(c)
-		return
+	default:
+		b.toCache(c)
 	}
-	if to := b.next(c); to != nil {
+}
+
+// toCache makes the next shot at a cache, or gives up.
+func (b *Balancer) toCache(c *call) {
+	if to := b.next(c); to != nil && b.mayRepeat(c, to) {
+		b.squeeze = max(0, b.squeeze-0.01)
 		b.send(c, to)
 		return
 	}
+	b.pressed(c)
 	b.giveUp(c)
 }
 
@@ -139,11 +138,7 @@
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
-			if pass == 0 && float64(h.out) >= mean+2 {
-				busy++
-				continue
-			}
-			if float64(h.out) >= b.bearable(h, c) {
+			if pass == 0 && float64(h.out) >= mean+2 || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -228,11 +223,7 @@
 		b.askOrigin(c)
 		return
 	}
-	if to := b.next(c); to != nil && b.mayRepeat(c, to) {
-		b.send(c, to)
-		return
-	}
-	b.giveUp(c)
+	b.toCache(c)
 }
 
 // furtherPays draws whether a further shot is made: as often as recent ones were fulfilled, so that in an
@@ -242,8 +233,8 @@
 	return b.chance() < max(0.05, (good+4)/(good+bad+4))
 }
 
-// patience is how long a shot is left alone before its host is looked at: four looks within the SLO.
-func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/4) }
+// patience is how long a shot is left alone before its host is looked at: eight looks within the SLO.
+func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
 
 // impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
 // answers nothing (a hang), or fails its peers' standard, loses the shot while there is time for another.
@@ -261,7 +252,7 @@
 		return
 	}
 	slow := b.terms.SecondCopies && now-c.shots[i].sent >= c.terms.LatencySLO/2
-	if (b.silent(at) || slow) && b.furtherPays() {
+	if (b.overdue(at) > hung || slow) && b.furtherPays() {
 		if b.terms.SecondCopies {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
 				b.send(c, to)
@@ -689,7 +680,7 @@
 // afterWait asks the cache that missed once more.
 func (b *Balancer) afterWait(c *call) {
 	h := c.missedAt
-	if h.Condition == Up && b.mayRepeat(c, h) && float64(h.out) < h.limit && b.coldMayTake(h, c) &&
+	if h.Condition == Up && b.mayRepeat(c, h) && b.bears(h, c) && b.coldMayTake(h, c) &&
 		len(c.shots)+1 < b.terms.MostShots {
 		b.send(c, h)
 		return
@@ -709,7 +700,8 @@
 	if !c.Write {
 		most = max(1, 0.75*most)
 	}
-	if float64(o.out) >= most {
+	if float64(o.out) >= most || b.host.Now() < o.restUntil {
+		b.pressed(c)
 		b.giveUp(c)
 		return
 	}
@@ -765,15 +757,27 @@
 	return max(1, coldSafety*b.terms.FallMultiple*w*perS*b.terms.FallWindow.seconds())
 }
 
-// ---- health
+// ---- health and limits
 
 const (
 	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
-	beatEvery  = 100 * Millisecond  // the finest time in which anything here is decided anew
-	probeEvery = 500 * Millisecond  // a doubtful host is probed twice a second: a few probes in a hundred calls
+	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
 
-// learn takes a shot's outcome into the host's health, its limit and the fleet's pace.
+// tempo is how long a product's shots at caches take: lately, and when nothing presses.
+type tempo struct{ n, lately, calm float64 }
+
+func (t *tempo) add(took float64) {
+	t.n = min(t.n+1, 64) // work differs by a factor of several: 64 shots average that out
+	t.lately += (took - t.lately) / t.n
+	if t.n < 32 || t.lately < t.calm {
+		t.calm = t.lately
+	} else {
+		t.calm += (t.lately - t.calm) / 2000 // tens of seconds: an overload must not pass for the usual
+	}
+}
+
+// learn takes a shot's outcome into the host's health and limit and the product's tempo.
 func (b *Balancer) learn(h *cache, c *call, e Ending) {
 	now, slo := b.host.Now(), c.terms.LatencySLO
 	good, bad := 0.0, 0.0
@@ -784,47 +788,70 @@
 		} else {
 			bad = 1
 		}
+		h.rest /= 2
 	case Cancelled:
 		if e.Took >= slo/2 {
 			bad = 1
 		}
-	case TurnedAway, NeverSent:
+	case NeverSent:
+	case TurnedAway:
+		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
+		h.rest = min(max(firstRest, 2*h.rest), Second)
+		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	default:
 		bad = 1
 	}
 	h.health.add(now, good, bad)
-	late := bad > 0 || e.Outcome == TurnedAway || e.Took > slo*8/10
+	if h != b.origin {
+		b.all.add(now, good, bad)
+		if e.Outcome == Fulfilled {
+			b.pace += (float64(e.Took) - b.pace) / 32
+		}
+		if good > 0 && b.warmth(h) == 1 {
+			b.warmDone.add(now, 1, 0)
+		}
+		if e.Outcome == Fulfilled && (b.terms.Aside || e.Note <= 1) {
+			t := &b.tempos[c.Product]
+			t.add(float64(e.Took))
+			h.stretch += (float64(e.Took)/t.calm - h.stretch) / 16
+		}
+	}
+	crowded := h.stretch > stretched || h == b.origin && e.Took > slo/2
 	switch {
-	case late && now-h.cutAt > slo/2:
-		h.limit = max(1, h.limit*0.8)
-		h.cutAt = now
-	case !late && good > 0 && float64(h.out+1) >= h.limit/2:
+	case bad > 0 || e.Outcome == TurnedAway:
+		if now-h.cutAt > slo/4 {
+			h.limit, h.cutAt = max(1, h.limit*0.8), now
+		}
+	case good > 0 && crowded:
+		h.limit = max(1, h.limit-0.5/h.limit)
+	case good > 0 && float64(h.out+1) >= h.limit/2:
 		h.limit = min(mostOut, h.limit+1/h.limit)
 	}
-	if h == b.origin {
-		return
-	}
-	b.all.add(now, good, bad)
-	if good > 0 {
-		b.pace += (e.Took - b.pace) / 32
-		if b.warmth(h) == 1 {
-			b.warmDone.add(now, 1, 0)
-		}
+	if bad > 0 && !c.above {
+		b.squeeze = min(1, b.squeeze+0.02)
 	}
 }
 
-// silent tells a hang before the first time-out: shots out, and none ended for many times the usual pace.
-func (b *Balancer) silent(h *cache) bool {
-	return h.out > 0 && b.host.Now()-max(h.lastEnded, h.busySince) > max(50*Millisecond, 5*b.pace)
+// overdue tells a hang before the first time-out: how many of the shots out at a host should have ended since
+// one last did, by the usual pace.
+func (b *Balancer) overdue(h *cache) float64 {
+	if h.out == 0 || b.pace == 0 {
+		return 0
+	}
+	return float64(h.out) * float64(b.host.Now()-max(h.lastEnded, h.busySince)) / b.pace
 }
 
+// hung is the number of endings overdue from which a host counts as hanging: by chance it is seen once in
+// some four hundred looks at a busy host.
+const hung = 6
+
 // trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
 // troubles all (a slow origin, an overload) blames no single host. Work that cannot be repeated takes no draw.
 func (b *Balancer) trusted(h *cache, c *call) bool {
 	now := b.host.Now()
 	good, bad := h.health.faded(now)
-	if b.silent(h) {
-		bad += 2 * float64(h.out)
+	if n := b.overdue(h); n > hung {
+		bad += n
 	}
 	if bad == 0 {
 		return true
@@ -840,23 +867,33 @@
 	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
 }
 
-// ---- limits and fairness
-
 const (
-	firstOut = 16  // shots at one host before anything is known: several a core, far from most queues
-	mostOut  = 256 // more than any host here was seen to need
+	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
+	mostOut   = 256 // more than any host here was seen to need
+	firstRest = 20 * Millisecond
+	stretched = 4 // a host whose shots take this many times the calm tempo holds too many
 )
 
-// bearable is how many shots a host may have out for this API call to be added. Under pressure the traffic
-// beyond an allowance stops at half of what the host bears, and cheap products a little before dear ones.
-func (b *Balancer) bearable(h *cache, c *call) float64 {
+// bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
+// stops at half of what the host bears, and cheap products a little before dear ones.
+func (b *Balancer) bears(h *cache, c *call) bool {
 	n := h.limit
 	if c.above {
 		n /= 2
 	} else if c.terms.BilledValue < b.topValue/2 {
 		n *= 0.85
 	}
-	return max(1, n)
+	return float64(h.out) < max(1, n) && b.host.Now() >= h.restUntil
+}
+
+// ---- fairness
+
+// pressed notes that an API call within its allowance found no room: more of what lies beyond one is
+// then rate-limited on arrival, and less again as calls find room.
+func (b *Balancer) pressed(c *call) {
+	if !c.above {
+		b.squeeze = min(1, b.squeeze+0.1)
+	}
 }
 
 type allowance struct {
@@ -866,14 +903,14 @@
 
 // beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst.
 func (b *Balancer) beyondAllowance(c *call) bool {
-	if int(c.Customer) >= len(b.buckets) {
+	if int(c.Customer) >= len(b.allowances) {
 		return false
 	}
 	rate := b.terms.Customers[c.Customer].AllowancePerS / float64(b.terms.Balancers)
 	if rate <= 0 {
 		return false
 	}
-	a, now := &b.buckets[c.Customer], b.host.Now()
+	a, now := &b.allowances[c.Customer], b.host.Now()
 	if a.at == 0 {
 		a.tokens = rate
 	} else {
@@ -955,7 +992,7 @@
 	h := b.caches[e.Cache]
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	if h == nil || e.Born != h.Born {
-		fresh := &cache{Entry: e, limit: firstOut, weight: b.weight(e)}
+		fresh := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), stretch: 1, weight: b.weight(e)}
 		fresh.health.width, fresh.sent.width = healthSlot, max(1, b.terms.FallWindow/(meterSlots-1))
 		if h != nil {
 			fresh.out, fresh.busySince, fresh.lastEnded = h.out, h.busySince, h.lastEnded
@@ -996,75 +1033,4 @@
 	if slot := int(now / keySlot % keySlots); slot != b.table.slot {
 		b.rotate(slot)
 	}
-	if true || !b.terms.MayProbe {
-		return
-	}
-	for _, h := range b.byID {
-		good, bad := h.health.faded(now)
-		if bad > good && now-h.probedAt >= probeEvery {
-			h.probedAt = now
-			b.host.Probe(h.Cache)
-		}
-	}
-}
-
-// Probed takes the end of a probe. A failure counts; a success shows little more than that the process runs,
-// so it only halves a doubt, by adding to what went well.
-func (b *Balancer) Probed(id CacheID, o Outcome) {
-	h := b.caches[id]
-	if h == nil {
-		return
-	}
-	if o == Fulfilled {
-		h.health.add(b.host.Now(), 0.25, 0)
-	} else {
-		h.health.add(b.host.Now(), 0, 1)
-	}
 }
-
-// ---- measuring over time
-
-const meterSlots = 8
-
-// meter sums two things in slots of time that are used again in a ring.
-type meter struct {
-	width Nanos
-	slots [meterSlots]struct {
-		turn      Nanos
-		good, bad float64
-	}
-}
-
-func (m *meter) add(now Nanos, good, bad float64) {
-	turn := now / m.width
-	s := &m.slots[turn%meterSlots]
-	if s.turn != turn {
-		s.turn, s.good, s.bad = turn, 0, 0
-	}
-	s.good += good
-	s.bad += bad
-}
-
-// faded sums the slots, the older the less.
-func (m *meter) faded(now Nanos) (good, bad float64) {
-	for _, s := range m.slots {
-		if age := now/m.width - s.turn; age < meterSlots {
-			f := 1 - float64(age)/meterSlots
-			good += f * s.good
-			bad += f * s.bad
-		}
-	}
-	return good, bad
-}
-
-// total sums the good of all slots.
-func (m *meter) total(now Nanos) (good float64) {
-	for _, s := range m.slots {
-		if now/m.width-s.turn < meterSlots {
-			good += s.good
-		}
-	}
-	return good
-}
-
-func (n Nanos) seconds() float64 { return float64(n) / float64(Second) }
--- a/policy/types.go
+++ b/policy/types.go
@@ -27,12 +27,11 @@
 	Cancel(call CallID, shot int)
 	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
 	Error(call CallID)                     // final; promises nothing
-	Probe(cache CacheID)
 	Subscribe()
 	Wake(after Nanos, id WakeID)
 }
 
-// Outcome is how a shot or a probe ended.
+// Outcome is how a shot ended.
 type Outcome int
 
 const (
@@ -140,7 +139,6 @@
 	OriginKind    Kind // -1: the origin is not listed
 	SecondCopies  bool
 	MayCancel     bool
-	MayProbe      bool
 	MostShots     int
 	MaxComeBack   Nanos // 0: clients take no advice
 	LiveSizes     bool  // listed sizes follow the load
