Share one limit among likely misses where caches fetch

Cause: caches answer for a slow origin with errors and full, and the limiter stopped their hits with them.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	seed, draws            uint64
 	caches                 map[CacheID]*cache
 	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
-	origin                 *cache   // nil where it is not listed
+	origin                 *cache   // never nil; where caches fetch, it stands for what their fetches meet
 	ring                   []point
 	unit                   float64          // listed size that gets the nominal number of points
 	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
@@ -70,6 +70,7 @@
 	sent Nanos
 	out  bool
 	ran  bool // may have run
+	far  bool // goes on to the origin: to it, or a write or a likely miss where caches fetch
 }
 
 // New makes a balancer that starts with nothing; its list follows by Listed.
@@ -82,6 +83,7 @@
 	for i := range terms.Products {
 		b.topValue = max(b.topValue, terms.Products[i].BilledValue)
 	}
+	b.origin = &cache{limit: mostOut / 4}
 	if terms.MustSubscribe {
 		host.Subscribe()
 	}
@@ -110,7 +112,7 @@
 
 // toCache makes the next shot at a cache, or gives up.
 func (b *Balancer) toCache(c *call) {
-	if to := b.next(c); to != nil && b.mayRepeat(c, to) {
+	if to := b.next(c); to != nil && b.mayRepeat(c, to) && (!b.fetches(c) || b.originBears(c)) {
 		b.squeeze = max(0, b.squeeze-0.01)
 		b.send(c, to)
 		return
@@ -163,7 +165,11 @@
 	}
 	to.out++
 	to.sent.add(now, 1, 0)
-	c.shots = append(c.shots, shot{at: to, sent: now, out: true})
+	far := to == b.origin || b.fetches(c)
+	if far && to != b.origin {
+		b.origin.out++
+	}
+	c.shots = append(c.shots, shot{at: to, sent: now, out: true, far: far})
 	c.out++
 	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
 	if to != b.origin {
@@ -185,8 +191,11 @@
 	s := &c.shots[e.Shot]
 	s.out, s.ran = false, mayHaveRun(e.Outcome)
 	c.out--
+	if s.far && s.at != b.origin {
+		b.origin.out--
+	}
 	if h != nil {
-		b.learn(h, c, e)
+		b.learn(h, c, e, s.far)
 	}
 	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == nil {
 		if e.Outcome == Fulfilled {
@@ -199,6 +208,9 @@
 		b.release(c, e.Outcome == Fulfilled)
 	}
 	if e.Final || e.Outcome == Fulfilled || c.over {
+		if u := b.table.find(c.Key); u != nil && e.Outcome == Fulfilled {
+			u.kept = !c.Write
+		}
 		b.finish(c)
 		return
 	}
@@ -523,6 +535,7 @@
 	read   [keySlots]uint32
 	write  [keySlots]uint32
 	copyAt CacheID
+	kept   bool // read well since it was last written: a cache has it, likely
 }
 
 type keyTable struct {
@@ -688,19 +701,26 @@
 	b.askOrigin(c)
 }
 
+// fetches tells whether a shot at a cache likely goes on to the origin.
+func (b *Balancer) fetches(c *call) bool {
+	u := b.table.find(c.Key)
+	return !b.terms.Aside && (c.Write || u == nil || !u.kept)
+}
+
+// originBears: reads leave a quarter of what the origin bears to writes.
+func (b *Balancer) originBears(c *call) bool {
+	most := b.origin.limit
+	if !c.Write {
+		most = max(1, 0.75*most)
+	}
+	return float64(b.origin.out) < most && b.host.Now() >= b.origin.restUntil
+}
+
 // askOrigin sends to the origin as much as it is seen to bear; reads leave a quarter of that to writes.
 // What it could not answer in time is rate-limited at once: queued reads would come late and keep it slow.
 func (b *Balancer) askOrigin(c *call) {
 	o := b.origin
-	if o == nil || o.Condition != Up || !b.mayRepeat(c, o) {
-		b.giveUp(c)
-		return
-	}
-	most := o.limit
-	if !c.Write {
-		most = max(1, 0.75*most)
-	}
-	if float64(o.out) >= most || b.host.Now() < o.restUntil {
+	if o.Condition != Up || !b.mayRepeat(c, o) || !b.originBears(c) {
 		b.pressed(c)
 		b.giveUp(c)
 		return
@@ -777,10 +797,10 @@
 	}
 }
 
-// learn takes a shot's outcome into the host's health and limit and the product's tempo.
-func (b *Balancer) learn(h *cache, c *call, e Ending) {
+// learn takes a shot's outcome into the host's health, its limit and the product's tempo.
+func (b *Balancer) learn(h *cache, c *call, e Ending, far bool) {
 	now, slo := b.host.Now(), c.terms.LatencySLO
-	good, bad := 0.0, 0.0
+	good, bad, full := 0.0, 0.0, e.Outcome == TurnedAway
 	switch e.Outcome {
 	case Fulfilled, Missed:
 		if e.Took <= slo {
@@ -788,47 +808,60 @@
 		} else {
 			bad = 1
 		}
-		h.rest /= 2
 	case Cancelled:
 		if e.Took >= slo/2 {
 			bad = 1
 		}
-	case NeverSent:
-	case TurnedAway:
-		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
-		h.rest = min(max(firstRest, 2*h.rest), Second)
-		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
+	case NeverSent, TurnedAway:
 	default:
 		bad = 1
 	}
-	h.health.add(now, good, bad)
-	if h != b.origin {
-		b.all.add(now, good, bad)
-		if e.Outcome == Fulfilled {
-			b.pace += (float64(e.Took) - b.pace) / 32
-		}
-		if good > 0 && b.warmth(h) == 1 {
-			b.warmDone.add(now, 1, 0)
-		}
-		if e.Outcome == Fulfilled && (b.terms.Aside || e.Note <= 1) {
-			t := &b.tempos[c.Product]
-			t.add(float64(e.Took))
-			h.stretch += (float64(e.Took)/t.calm - h.stretch) / 16
+	if far {
+		// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
+		if e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full || h == b.origin {
+			b.adapt(b.origin, now, slo, good > 0, bad > 0 || full, full, e.Took > slo/2)
+			if h != b.origin && good > 0 {
+				h.health.add(now, 1, 0)
+				b.all.add(now, 1, 0)
+			}
+			return
 		}
 	}
-	crowded := h.stretch > stretched || h == b.origin && e.Took > slo/2
+	h.health.add(now, good, bad)
+	b.all.add(now, good, bad)
+	if e.Outcome == Fulfilled {
+		b.pace += (float64(e.Took) - b.pace) / 32
+		t := &b.tempos[c.Product]
+		t.add(float64(e.Took))
+		h.stretch += (float64(e.Took)/t.calm - h.stretch) / 16
+	}
+	if good > 0 && b.warmth(h) == 1 {
+		b.warmDone.add(now, 1, 0)
+	}
+	b.adapt(h, now, slo, good > 0, bad > 0 || full, full, h.stretch > stretched)
+	if bad > 0 && !c.above {
+		b.squeeze = min(1, b.squeeze+0.02)
+	}
+}
+
+// adapt moves a limit: sharply down on what failed, slowly down when crowded, slowly up when it was needed.
+func (b *Balancer) adapt(h *cache, now, slo Nanos, good, bad, full, crowded bool) {
+	if full { // it answers at once and so looks idle: without a rest it would draw the traffic of all
+		h.rest = min(max(firstRest, 2*h.rest), Second)
+		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
+	}
 	switch {
-	case bad > 0 || e.Outcome == TurnedAway:
+	case bad:
 		if now-h.cutAt > slo/4 {
-			h.limit, h.cutAt = max(1, h.limit*0.8), now
+			h.limit, h.cutAt = max(1, h.limit*0.6), now
 		}
-	case good > 0 && crowded:
+	case good && crowded:
 		h.limit = max(1, h.limit-0.5/h.limit)
-	case good > 0 && float64(h.out+1) >= h.limit/2:
-		h.limit = min(mostOut, h.limit+1/h.limit)
-	}
-	if bad > 0 && !c.above {
-		b.squeeze = min(1, b.squeeze+0.02)
+	case good:
+		h.rest /= 2
+		if float64(h.out+1) >= h.limit/2 {
+			h.limit = min(mostOut, h.limit+1/h.limit)
+		}
 	}
 }
 
@@ -871,7 +904,7 @@
 	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
-	stretched = 4 // a host whose shots take this many times the calm tempo holds too many
+	stretched = 2.5 // a host whose shots take this many times the calm tempo holds too many
 )
 
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
