Pace counts all cache answers, a full fetch place rests no origin

Cause: the pace left out likely misses, so slow writes looked overdue and deduplicated calls were recalled.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -816,10 +816,13 @@
 	default:
 		bad = 1
 	}
+	if e.Outcome == Fulfilled && h != b.origin {
+		b.pace += (float64(e.Took) - b.pace) / 32
+	}
 	if far {
 		// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
 		if e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full || h == b.origin {
-			b.adapt(b.origin, now, slo, good > 0, bad > 0 || full, full, e.Took > slo/2)
+			b.adapt(b.origin, now, slo, true, e.Outcome != Fulfilled || h == b.origin && bad > 0, full, e.Took > slo/2)
 			if h != b.origin && good > 0 {
 				h.health.add(now, 1, 0)
 				b.all.add(now, 1, 0)
@@ -830,7 +833,6 @@
 	h.health.add(now, good, bad)
 	b.all.add(now, good, bad)
 	if e.Outcome == Fulfilled {
-		b.pace += (float64(e.Took) - b.pace) / 32
 		t := &b.tempos[c.Product]
 		t.add(float64(e.Took))
 		h.stretch += (float64(e.Took)/t.calm - h.stretch) / 16
@@ -846,7 +848,7 @@
 
 // adapt moves a limit: sharply down on what failed, slowly down when crowded, slowly up when it was needed.
 func (b *Balancer) adapt(h *cache, now, slo Nanos, good, bad, full, crowded bool) {
-	if full { // it answers at once and so looks idle: without a rest it would draw the traffic of all
+	if full && (h != b.origin || b.terms.Aside) { // it answers at once and so looks idle: without a rest it would draw the traffic of all
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	}
