--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	fetching               map[Key]*call // the API call that asks the origin for a key
 	table                  keyTable
 	allowances             []allowance
+	parts                  []float64 // scratch: what part of its allowance each customer uses here
 	tempos                 []tempo
 	topValue, squeeze      float64
 	pace                   float64 // how long shots at caches take lately
@@ -819,16 +820,16 @@
 	if e.Outcome == Fulfilled && h != b.origin {
 		b.pace += (float64(e.Took) - b.pace) / 32
 	}
-	if far {
-		// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
-		if e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full || h == b.origin {
-			b.adapt(b.origin, now, slo, true, e.Outcome != Fulfilled || h == b.origin && bad > 0, full, e.Took > slo/2)
-			if h != b.origin && good > 0 {
-				h.health.add(now, 1, 0)
-				b.all.add(now, 1, 0)
-			}
-			return
-		}
+	if h == b.origin {
+		b.adapt(h, now, slo, good > 0, bad > 0 || full, full, e.Took > slo/2)
+		return
+	}
+	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
+	if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
+		b.adapt(b.origin, now, slo, true, e.Outcome != Fulfilled, full, e.Took > slo/2)
+		h.health.add(now, good, 0)
+		b.all.add(now, good, 0)
+		return
 	}
 	h.health.add(now, good, bad)
 	b.all.add(now, good, bad)
@@ -931,27 +932,34 @@
 	}
 }
 
+// allowance is a customer's bucket of API calls and its lately seen rate.
 type allowance struct {
-	tokens float64
-	at     Nanos
+	tokens, rate float64
+	at           Nanos
 }
 
-// beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst.
+// beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst. The part
+// is not told: it is an equal one, or more if the median customer here uses more of its allowance than that,
+// lest a balancer that gets most of the traffic takes everybody for a glutton.
 func (b *Balancer) beyondAllowance(c *call) bool {
-	if int(c.Customer) >= len(b.allowances) {
-		return false
-	}
-	rate := b.terms.Customers[c.Customer].AllowancePerS / float64(b.terms.Balancers)
-	if rate <= 0 {
+	if int(c.Customer) >= len(b.allowances) || b.terms.Customers[c.Customer].AllowancePerS <= 0 {
 		return false
 	}
 	a, now := &b.allowances[c.Customer], b.host.Now()
+	passed := (now - a.at).seconds()
 	if a.at == 0 {
-		a.tokens = rate
-	} else {
-		a.tokens = min(max(1, rate), a.tokens+rate*(now-a.at).seconds())
+		passed = 1
 	}
 	a.at = now
+	a.rate = a.rate*math.Exp(-passed/rateSpan) + 1/rateSpan
+	b.parts = b.parts[:0]
+	for i := range b.allowances {
+		b.parts = append(b.parts, b.allowances[i].rate/max(b.terms.Customers[i].AllowancePerS, 1e-9))
+	}
+	slices.Sort(b.parts)
+	part := min(1, max(1/float64(b.terms.Balancers), 1.25*b.parts[len(b.parts)/2]))
+	rate := part * b.terms.Customers[c.Customer].AllowancePerS
+	a.tokens = min(max(1, rate), a.tokens+rate*passed)
 	if a.tokens < 1 {
 		return true
 	}
@@ -959,6 +967,8 @@
 	return false
 }
 
+const rateSpan = 5.0 // seconds over which a customer's rate is taken: long against a burst
+
 // ---- the list
 
 // Listed takes what discovery tells.
