--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,7 +114,7 @@
 // toCache makes the next shot at a cache, or gives up.
 func (b *Balancer) toCache(c *call) {
 	if to := b.next(c); to != nil && b.mayRepeat(c, to) && (!b.fetches(c) || b.originBears(c)) {
-		b.squeeze = max(0, b.squeeze-0.01)
+		b.squeeze = max(0, b.squeeze-0.002)
 		b.send(c, to)
 		return
 	}
@@ -843,7 +843,7 @@
 	}
 	b.adapt(h, now, slo, good > 0, bad > 0 || full, full, h.stretch > stretched)
 	if bad > 0 && !c.above {
-		b.squeeze = min(1, b.squeeze+0.02)
+		b.squeeze = min(1, b.squeeze+0.1)
 	}
 }
 
@@ -879,7 +879,7 @@
 
 // hung is the number of endings overdue from which a host counts as hanging: by chance it is seen once in
 // some four hundred looks at a busy host.
-const hung = 6
+const hung = 9
 
 // trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
 // troubles all (a slow origin, an overload) blames no single host. Work that cannot be repeated takes no draw.
@@ -907,7 +907,7 @@
 	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
-	stretched = 2.5 // a host whose shots take this many times the calm tempo holds too many
+	stretched = 1.8 // a host whose shots take this many times the calm tempo holds too many
 )
 
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
