--- a/policy/meter.go
+++ b/policy/meter.go
@@ -21,6 +21,17 @@
 	s.bad += bad
 }
 
+func (m *meter) tell(now Nanos, good, bad bool) {
+	var g, b float64
+	if good {
+		g = 1
+	}
+	if bad {
+		b = 1
+	}
+	m.add(now, g, b)
+}
+
 // faded sums the slots, the older the less.
 func (m *meter) faded(now Nanos) (good, bad float64) {
 	for _, s := range m.slots {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy decides where each API call goes. A Balancer is made by New with the Terms of its
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
-// Streaming, Abandoned, Woke), and it acts by calling the Host it was made with. Both are declared in types.go.
+// Streaming, Abandoned, Woke), and it acts by calling the Host it was made with, declared in types.go.
 // It is not safe for concurrent use, keeps no clock and shares nothing.
 //
 // Reading order: the ordinary path (Arrived, next, Ended), the ring, the copies by profit, then what
@@ -9,82 +9,29 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 )
 
-// Balancer holds what one balancer knows.
-type Balancer struct {
-	host                   Host
-	terms                  Terms
-	seed, draws            uint64
-	caches                 map[CacheID]*cache
-	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
-	origin                 *cache   // never nil; where caches fetch, it stands for what their fetches meet
-	ring                   []point
-	unit                   float64          // listed size that gets the nominal number of points
-	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
-	calls                  map[CallID]*call
-	fetching               map[Key]*call // the API call that asks the origin for a key
-	table                  keyTable
-	allowances             []allowance
-	parts                  []float64 // scratch: what part of its allowance each customer uses here
-	tempos                 []tempo
-	topValue, squeeze      float64
-	pace                   float64 // how long shots at caches take lately
-	all, warmDone, further meter   // shots at caches, fulfilments by warm ones, further shots
-	backoff                Nanos   // before the next try to follow the list
-	retrying               bool
-}
-
-// cache is a cache host, or the origin.
-type cache struct {
-	Entry
-	weight               float64
-	out                  int // this balancer's shots that have not ended
-	busySince, lastEnded Nanos
-	limit, stretch       float64 // shots out that it is seen to bear, and how stretched their times are
-	cutAt                Nanos
-	rest, restUntil      Nanos
-	health, sent         meter
-}
-
-type call struct {
-	Call
-	terms        *ProductTerms
-	began        Nanos
-	shots        []shot
-	out          int
-	over, stream bool
-	above        bool   // beyond its customer's allowance
-	waiting      bool   // held until another API call's fetch ends
-	waited       bool   // it has been held once
-	missedAt     *cache // where it missed last
-	fetch        bool   // it asks the origin, those behind it wait
-	behind       []*call
-}
-
-type shot struct {
-	at   *cache
-	sent Nanos
-	out  bool
-	ran  bool // may have run
-	far  bool // goes on to the origin: to it, or a write or a likely miss where caches fetch
-}
-
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
 		ofKind: map[Kind]float64{}, calls: map[CallID]*call{}, fetching: map[Key]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
-		tempos: make([]tempo, len(terms.Products))}
-	b.all.width, b.warmDone.width, b.further.width = healthSlot, healthSlot, healthSlot
-	for i := range terms.Products {
-		b.topValue = max(b.topValue, terms.Products[i].BilledValue)
+		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4}}
+	for _, m := range []*meter{&b.all, &b.warmDone, &b.further, &b.pace} {
+		m.width = healthSlot
+	}
+	for i := range terms.Customers {
+		b.allowances[i].seen.width = healthSlot
+	}
+	for i, p := range terms.Products {
+		b.topValue = max(b.topValue, p.BilledValue)
+		b.tempos[i].width = calmSlot
+	}
+	if terms.Aside {
+		b.origin.Condition = Gone // until it is listed
 	}
-	b.origin = &cache{limit: mostOut / 4}
 	if terms.MustSubscribe {
 		host.Subscribe()
 	}
@@ -95,6 +42,9 @@
 // Arrived takes an API call; from here on it is owed one final answer.
 func (b *Balancer) Arrived(in Call) {
 	now := b.host.Now()
+	if in.Key == "" {
+		in.Key = Key(in.ID)
+	}
 	c := &call{Call: in, terms: &b.terms.Products[in.Product], began: now}
 	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
 	b.host.Wake(max(0, in.Left-2*b.terms.Tick), WakeID("e"+in.ID))
@@ -134,10 +84,8 @@
 	for pass := range 3 {
 		busy := 0
 		for _, h := range path {
-			if busy > reach || c.asked(h) || !b.coldMayTake(h, c) {
-				continue
-			}
-			if pass < 2 && !b.trusted(h, c) {
+			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
+			if busy > reach || asked || !b.coldMayTake(h, c) || pass < 2 && !b.trusted(h, c) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
@@ -155,10 +103,6 @@
 // every cache and the misses would add the origin to the trouble. Three is as many as share a home's keys.
 const reach = 3
 
-func (c *call) asked(h *cache) bool {
-	return slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-}
-
 func (b *Balancer) send(c *call, to *cache) {
 	now := b.host.Now()
 	if to.out == 0 {
@@ -199,11 +143,7 @@
 		b.learn(h, c, e, s.far)
 	}
 	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == nil {
-		if e.Outcome == Fulfilled {
-			b.further.add(now, 1, 0)
-		} else {
-			b.further.add(now, 0, 1)
-		}
+		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
 	}
 	if s.at == b.origin && c.fetch {
 		b.release(c, e.Outcome == Fulfilled)
@@ -250,28 +190,21 @@
 func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
 
 // impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
-// answers nothing (a hang), or fails its peers' standard, loses the shot while there is time for another.
+// answers nothing (a hang) loses the shot while there is time for another.
 func (b *Balancer) impatient(c *call) {
-	now := b.host.Now()
-	if c.stream || c.out == 0 || now >= c.began+c.terms.LatencySLO {
+	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
+	age := b.host.Now() - c.began
+	if c.stream || i < 0 || age >= c.terms.LatencySLO {
 		return
 	}
-	i := len(c.shots) - 1
-	for !c.shots[i].out {
-		i--
-	}
-	at := c.shots[i].at
-	if at == b.origin {
-		return
-	}
-	slow := b.terms.SecondCopies && now-c.shots[i].sent >= c.terms.LatencySLO/2
-	if (b.overdue(at) > hung || slow) && b.furtherPays() {
-		if b.terms.SecondCopies {
+	second := b.terms.SecondCopies
+	if b.overdue(c.shots[i].at) > hung || second && age >= c.terms.LatencySLO/2 {
+		if second && c.out == 1 && b.furtherPays() {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
 				b.send(c, to)
 				return
 			}
-		} else if b.terms.MayCancel && c.terms.Effect != NonIdempotent {
+		} else if !second && b.terms.MayCancel && c.terms.Effect != NonIdempotent && b.furtherPays() {
 			b.host.Cancel(c.ID, i) // its outcome leads to again
 			return
 		}
@@ -337,7 +270,10 @@
 func (b *Balancer) Woke(id WakeID) {
 	switch id {
 	case "beat":
-		b.beat()
+		b.host.Wake(beatEvery, "beat")
+		if slot := int(b.host.Now() / keySlot % keySlots); slot != b.table.slot {
+			b.rotate(slot)
+		}
 		return
 	case "list":
 		b.retrying = false
@@ -368,64 +304,28 @@
 
 // mayRepeat is the one place that says whether a shot may be sent now, given those before it.
 func (b *Balancer) mayRepeat(c *call, to *cache) bool {
-	if len(c.shots) >= b.terms.MostShots || c.over || c.out > 1 || c.out == 1 && !b.terms.SecondCopies {
-		return false
-	}
-	if c.terms.Effect == Idempotent {
-		return true
-	}
-	for _, s := range c.shots {
-		if !s.out && !s.ran {
-			continue
-		}
-		// A second effect: non-idempotent never again, deduplicated only where the repeat is recognised.
-		if c.terms.Effect == NonIdempotent || b.host.Now()-s.sent >= c.terms.Window ||
-			c.terms.Group == GroupZone && s.at.Zone != to.Zone ||
-			c.terms.Group == GroupCell && s.at.Cell != to.Cell {
-			return false
-		}
-	}
-	return true
+	return len(c.shots) < b.terms.MostShots && !c.over && (c.out == 0 || c.out == 1 && b.terms.SecondCopies) &&
+		b.harmless(c, func(s shot) bool {
+			return c.terms.Group == GroupAll || c.terms.Group == GroupZone && s.at.Zone == to.Zone ||
+				c.terms.Group == GroupCell && s.at.Cell == to.Cell
+		})
 }
 
-// mayRateLimit: the reply promises that a retry is harmless.
+// mayRateLimit: the reply promises that a retry is harmless, wherever it goes.
 func (b *Balancer) mayRateLimit(c *call) bool {
-	for _, s := range c.shots {
-		if (s.out || s.ran) && (c.terms.Effect == NonIdempotent ||
-			c.terms.Effect == Deduplicated &&
-				(c.terms.Group != GroupAll || b.host.Now()-s.sent >= c.terms.Window)) {
-			return false
-		}
-	}
-	return true
-}
-
-// ---- the ring
-
-type point struct {
-	hash uint64
-	at   *cache
+	return b.harmless(c, func(shot) bool { return c.terms.Group == GroupAll })
 }
 
-// hash is FNV-1a with a finaliser: plain FNV leaves similar short names close together on the ring.
-func hash(s string, n uint64) uint64 {
-	f := fnv.New64a()
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], n)
-	f.Write([]byte(s))
-	f.Write(buf[:])
-	h := f.Sum64()
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+// harmless guards against a second effect: non-idempotent work never runs again, and deduplicated work only
+// where and while every shot that may have run is remembered.
+func (b *Balancer) harmless(c *call, remembered func(shot) bool) bool {
+	return c.terms.Effect == Idempotent || !slices.ContainsFunc(c.shots, func(s shot) bool {
+		return (s.out || s.ran) && (c.terms.Effect == NonIdempotent ||
+			b.host.Now()-s.sent >= c.terms.Window || !remembered(s))
+	})
 }
 
-func (b *Balancer) chance() float64 {
-	b.draws++
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], b.seed)
-	return float64(hash(string(buf[:]), b.draws)>>11) / (1 << 53)
-}
+// ---- the ring
 
 // points is the number of virtual nodes of a host of nominal size: enough that shares stray by a tenth.
 const points = 100
@@ -468,21 +368,17 @@
 
 // path is the order in which caches are asked: a read's nearest copy first, then home and successors.
 func (b *Balancer) path(c *call) []*cache {
-	k := c.Key
-	if k == "" {
-		k = Key(c.ID)
-	}
-	met := b.successors(k)
-	if u := b.table.find(k); u != nil && !c.Write && len(met) > 0 {
-		b.weigh(u, met)
-		i := slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
-		if i > 0 && b.nearer(met[i], met[0]) {
-			h := met[i]
-			copy(met[1:i+1], met[:i])
-			met[0] = h
-		}
+	met := b.successors(c.Key)
+	u := b.table.find(c.Key)
+	if u == nil || c.Write || len(met) == 0 {
+		return met
 	}
-	return met
+	b.weigh(u, met)
+	i := slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
+	if i < 1 || cmp.Or(cmp.Compare(b.hop(met[i]), b.hop(met[0])), cmp.Compare(met[i].Cache, met[0].Cache)) > 0 {
+		return met
+	}
+	return slices.Insert(slices.Delete(met, i, i+1), 0, met[i])
 }
 
 // ---- copies by profit
@@ -495,20 +391,10 @@
 	return 3
 }
 
-func (b *Balancer) nearer(x, y *cache) bool {
-	if hx, hy := b.hop(x), b.hop(y); hx != hy {
-		return hx < hy
-	}
-	return x.Cache < y.Cache
-}
-
-// weigh makes or drops this balancer's copy of a key: the first successor in its own zone, by profit.
+// weigh makes this balancer's copy of a key: the first successor in its own zone, by profit.
 func (b *Balancer) weigh(u *keyUse, met []*cache) {
-	if u.copyAt != "" {
-		return
-	}
 	i := slices.IndexFunc(met, func(h *cache) bool { return h.Zone == b.terms.Zone })
-	if i > 0 && b.profit(u, met[0], met[i]) > b.threshold() {
+	if i > 0 && u.copyAt == "" && b.profit(u, met[0], met[i]) > b.threshold() {
 		u.copyAt = met[i].Cache
 	}
 }
@@ -530,45 +416,6 @@
 	tableLook = 8    // keys looked at for one to put out
 )
 
-// keyUse counts this balancer's reads and writes of one key.
-type keyUse struct {
-	key    Key
-	read   [keySlots]uint32
-	write  [keySlots]uint32
-	copyAt CacheID
-	kept   bool // read well since it was last written: a cache has it, likely
-}
-
-type keyTable struct {
-	at    map[Key]int
-	use   []keyUse
-	slot  int
-	hand  int
-	total [keySlots]float64
-}
-
-func (u *keyUse) sum() (reads, writes float64) {
-	for i := range keySlots {
-		reads += float64(u.read[i])
-		writes += float64(u.write[i])
-	}
-	return reads, writes
-}
-
-func (t *keyTable) reads() (sum float64) {
-	for _, n := range t.total {
-		sum += n
-	}
-	return sum
-}
-
-func (t *keyTable) find(k Key) *keyUse {
-	if i, ok := t.at[k]; ok {
-		return &t.use[i]
-	}
-	return nil
-}
-
 // admit finds room for a key. When the table is full the least used of the next few gives way, and only if
 // it was used once: a flood of keys wanted once then turns over its own entries and not the ones that matter.
 func (t *keyTable) admit(k Key) *keyUse {
@@ -595,23 +442,16 @@
 }
 
 func (b *Balancer) count(c *call) {
-	t := &b.table
-	if !c.Write {
-		t.total[t.slot]++
-	}
-	if c.Key == "" {
-		return
-	}
-	u := t.find(c.Key)
+	t, u := &b.table, b.table.find(c.Key)
 	if u == nil {
 		u = t.admit(c.Key)
 	}
-	if u == nil {
-		return
+	if !c.Write {
+		t.total[t.slot]++
 	}
-	if c.Write {
+	if u != nil && c.Write {
 		u.write[t.slot]++
-	} else {
+	} else if u != nil {
 		u.read[t.slot]++
 	}
 }
@@ -619,30 +459,20 @@
 // rotate starts the next slot: copies under half the threshold and keys not used any more go.
 func (b *Balancer) rotate(slot int) {
 	t := &b.table
-	t.slot = slot
-	t.total[slot] = 0
+	t.slot, t.total[slot] = slot, 0
 	for i := range t.use {
 		t.use[i].read[slot], t.use[i].write[slot] = 0, 0
 	}
 	least := b.threshold() / 2
-	for i := 0; i < len(t.use); i++ {
+	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
-		if u.copyAt != "" {
-			met := b.successors(u.key)
-			at := b.caches[u.copyAt]
-			if len(met) == 0 || at == nil || at.Condition != Up || b.profit(u, met[0], at) < least {
+		if at := b.caches[u.copyAt]; at != nil {
+			if met := b.successors(u.key); at.Condition != Up || b.profit(u, met[0], at) < least {
 				u.copyAt = ""
 			}
 		}
 		if reads, writes := u.sum(); reads+writes == 0 {
-			delete(t.at, u.key)
-			last := len(t.use) - 1
-			if i < last {
-				t.use[i] = t.use[last]
-				t.at[t.use[i].key] = i
-			}
-			t.use = t.use[:last]
-			i--
+			t.remove(i)
 		}
 	}
 }
@@ -651,7 +481,7 @@
 
 // missed goes on with a read that a cache lacks: behind a fetch of the same key, or to the origin.
 func (b *Balancer) missed(c *call, note int) {
-	if lead := b.fetching[c.Key]; lead != nil && !c.waited && c.Key != "" {
+	if lead := b.fetching[c.Key]; lead != nil && !c.waited {
 		lead.behind = append(lead.behind, c)
 		b.wait(c, c.terms.LatencySLO/2)
 		return
@@ -726,7 +556,7 @@
 		b.giveUp(c)
 		return
 	}
-	if !c.Write && c.Key != "" && b.fetching[c.Key] == nil {
+	if !c.Write && b.fetching[c.Key] == nil {
 		b.fetching[c.Key] = c
 		c.fetch = true
 	}
@@ -751,14 +581,8 @@
 	if w == 1 {
 		return true
 	}
-	k := c.Key
-	if k == "" {
-		k = Key(c.ID)
-	}
-	if float64(hash(string(h.Cache)+string(k), 1)>>11)/(1<<53) >= w {
-		return false
-	}
-	return h.sent.total(b.host.Now()) < b.coldBudget(h, w)
+	return float64(hash(string(h.Cache)+string(c.Key), 1)>>11)/(1<<53) < w &&
+		h.sent.total(b.host.Now()) < b.coldBudget(h, w)
 }
 
 // coldSafety: the guess takes all warm hosts to be half idle or less, and API calls differ in work.
@@ -785,79 +609,68 @@
 	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
 
-// tempo is how long a product's shots at caches take: lately, and when nothing presses.
-type tempo struct{ n, lately, calm float64 }
+const (
+	calmSlot  = 6 * Second // times eight: an overload must not soon pass for the usual
+	calmLeast = 24         // endings that a slot needs: work differs by a factor of several
+)
 
-func (t *tempo) add(took float64) {
-	t.n = min(t.n+1, 64) // work differs by a factor of several: 64 shots average that out
-	t.lately += (took - t.lately) / t.n
-	if t.n < 32 || t.lately < t.calm {
-		t.calm = t.lately
-	} else {
-		t.calm += (t.lately - t.calm) / 2000 // tens of seconds: an overload must not pass for the usual
+// stretchOf is how many times longer than in calm times a shot took, by its product's calmest slot lately.
+func (b *Balancer) stretchOf(c *call, took Nanos) float64 {
+	m := &b.tempos[c.Product]
+	m.add(b.host.Now(), took.seconds(), 1)
+	calm := math.Inf(1)
+	for _, s := range m.slots {
+		if s.bad >= calmLeast && b.host.Now()/calmSlot-s.turn < meterSlots {
+			calm = min(calm, s.good/s.bad)
+		}
 	}
+	return max(1/stretched, took.seconds()/calm)
 }
 
-// learn takes a shot's outcome into the host's health, its limit and the product's tempo.
+// learn takes a shot's outcome into the host's health and limit and the product's tempo.
 func (b *Balancer) learn(h *cache, c *call, e Ending, far bool) {
-	now, slo := b.host.Now(), c.terms.LatencySLO
-	good, bad, full := 0.0, 0.0, e.Outcome == TurnedAway
-	switch e.Outcome {
-	case Fulfilled, Missed:
-		if e.Took <= slo {
-			good = 1
-		} else {
-			bad = 1
-		}
-	case Cancelled:
-		if e.Took >= slo/2 {
-			bad = 1
-		}
-	case NeverSent, TurnedAway:
-	default:
-		bad = 1
-	}
-	if e.Outcome == Fulfilled && h != b.origin {
-		b.pace += (float64(e.Took) - b.pace) / 32
-	}
+	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
+	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
+	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
 	if h == b.origin {
-		b.adapt(h, now, slo, good > 0, bad > 0 || full, full, e.Took > slo/2)
+		b.adapt(h, slo, good, bad, full, e.Took > slo/2)
 		return
 	}
+	if e.Outcome == Fulfilled {
+		b.pace.add(now, e.Took.seconds(), 1)
+	}
 	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
 	if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
-		b.adapt(b.origin, now, slo, true, e.Outcome != Fulfilled, full, e.Took > slo/2)
-		h.health.add(now, good, 0)
-		b.all.add(now, good, 0)
-		return
-	}
-	h.health.add(now, good, bad)
-	b.all.add(now, good, bad)
-	if e.Outcome == Fulfilled {
-		t := &b.tempos[c.Product]
-		t.add(float64(e.Took))
-		h.stretch += (float64(e.Took)/t.calm - h.stretch) / 16
+		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, e.Took > slo/2)
+		bad, full = false, false
+	} else {
+		if e.Outcome == Fulfilled {
+			h.stretch.add(now, b.stretchOf(c, e.Took), 1)
+		}
+		sum, n := h.stretch.faded(now)
+		b.adapt(h, slo, good, bad, full, (sum+stretchPrior)/(n+stretchPrior) > stretched)
 	}
-	if good > 0 && b.warmth(h) == 1 {
+	h.health.tell(now, good, bad)
+	b.all.tell(now, good, bad)
+	if good && b.warmth(h) == 1 {
 		b.warmDone.add(now, 1, 0)
 	}
-	b.adapt(h, now, slo, good > 0, bad > 0 || full, full, h.stretch > stretched)
-	if bad > 0 && !c.above {
-		b.squeeze = min(1, b.squeeze+0.1)
+	if bad && !c.above {
+		b.pressed(c)
 	}
 }
 
 // adapt moves a limit: sharply down on what failed, slowly down when crowded, slowly up when it was needed.
-func (b *Balancer) adapt(h *cache, now, slo Nanos, good, bad, full, crowded bool) {
-	if full && (h != b.origin || b.terms.Aside) { // it answers at once and so looks idle: without a rest it would draw the traffic of all
+func (b *Balancer) adapt(h *cache, slo Nanos, good, bad, full, crowded bool) {
+	now := b.host.Now()
+	if full && h.Cache != "" {
+		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	}
 	switch {
-	case bad:
-		if now-h.cutAt > slo/4 {
-			h.limit, h.cutAt = max(1, h.limit*0.6), now
-		}
+	case (bad || full) && now-h.cutAt > slo/4:
+		h.limit, h.cutAt = max(1, h.limit*0.6), now
 	case good && crowded:
 		h.limit = max(1, h.limit-0.5/h.limit)
 	case good:
@@ -871,10 +684,11 @@
 // overdue tells a hang before the first time-out: how many of the shots out at a host should have ended since
 // one last did, by the usual pace.
 func (b *Balancer) overdue(h *cache) float64 {
-	if h.out == 0 || b.pace == 0 {
+	took, n := b.pace.faded(b.host.Now())
+	if h.out == 0 || n == 0 {
 		return 0
 	}
-	return float64(h.out) * float64(b.host.Now()-max(h.lastEnded, h.busySince)) / b.pace
+	return float64(h.out) * (b.host.Now() - max(h.lastEnded, h.busySince)).seconds() * n / took
 }
 
 // hung is the number of endings overdue from which a host counts as hanging: by chance it is seen once in
@@ -882,7 +696,7 @@
 const hung = 9
 
 // trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
-// troubles all (a slow origin, an overload) blames no single host. Work that cannot be repeated takes no draw.
+// troubles all (a slow origin, an overload) blames none. Work that cannot be repeated takes no draw.
 func (b *Balancer) trusted(h *cache, c *call) bool {
 	now := b.host.Now()
 	good, bad := h.health.faded(now)
@@ -907,7 +721,10 @@
 	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
-	stretched = 1.8 // a host whose shots take this many times the calm tempo holds too many
+	// A host whose shots take this many times the calm tempo holds too many. Of 1.5, 1.8, 2.5, 4 and 8 the
+	// second did best over all deployments.
+	stretched    = 1.8
+	stretchPrior = 4 // calm shots granted to a host of which little was seen
 )
 
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
@@ -932,12 +749,6 @@
 	}
 }
 
-// allowance is a customer's bucket of API calls and its lately seen rate.
-type allowance struct {
-	tokens, rate float64
-	at           Nanos
-}
-
 // beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst. The part
 // is not told: it is an equal one, or more if the median customer here uses more of its allowance than that,
 // lest a balancer that gets most of the traffic takes everybody for a glutton.
@@ -951,13 +762,13 @@
 		passed = 1
 	}
 	a.at = now
-	a.rate = a.rate*math.Exp(-passed/rateSpan) + 1/rateSpan
-	b.parts = b.parts[:0]
+	a.seen.add(now, 1/(meterSlots*healthSlot.seconds()), 0)
+	var parts []float64
 	for i := range b.allowances {
-		b.parts = append(b.parts, b.allowances[i].rate/max(b.terms.Customers[i].AllowancePerS, 1e-9))
+		parts = append(parts, b.allowances[i].seen.total(now)/max(b.terms.Customers[i].AllowancePerS, 1e-9))
 	}
-	slices.Sort(b.parts)
-	part := min(1, max(1/float64(b.terms.Balancers), 1.25*b.parts[len(b.parts)/2]))
+	slices.Sort(parts)
+	part := min(1, max(1/float64(b.terms.Balancers), 1.25*parts[len(parts)/2]))
 	rate := part * b.terms.Customers[c.Customer].AllowancePerS
 	a.tokens = min(max(1, rate), a.tokens+rate*passed)
 	if a.tokens < 1 {
@@ -967,8 +778,6 @@
 	return false
 }
 
-const rateSpan = 5.0 // seconds over which a customer's rate is taken: long against a burst
-
 // ---- the list
 
 // Listed takes what discovery tells.
@@ -981,16 +790,18 @@
 		b.backoff = 0
 	}
 	named := map[CacheID]bool{}
-	changed := b.size(entries)
+	changed := kind != ListUpdate
+	if b.unit == 0 {
+		b.unitOf(entries)
+	}
 	for _, e := range entries {
 		named[e.Cache] = true
 		changed = b.note(e) || changed
 	}
 	if kind != ListUpdate {
 		for id, h := range b.caches {
-			if !named[id] && h.Condition != Gone {
+			if !named[id] {
 				h.Condition = Gone
-				changed = true
 			}
 		}
 	}
@@ -1009,73 +820,45 @@
 	b.host.Wake(Nanos(float64(b.backoff)*(0.5+b.chance()/2)), "list")
 }
 
-// size fixes what a listed size counts for: by kind where sizes follow the load, and in units of a power of
-// two, so that balancers that start at other times lay the same ring.
-func (b *Balancer) size(entries []Entry) bool {
-	if b.terms.LiveSizes {
-		for _, e := range entries {
-			if e.Condition == Up && e.Size > b.ofKind[e.Kind] && b.unit == 0 {
-				b.ofKind[e.Kind] = e.Size
-			}
-		}
-	}
+// unitOf fixes once what a listed size counts for: units of a power of two, and by kind where sizes follow
+// the load, so that balancers that start at other times lay the same ring and no load report moves a key.
+func (b *Balancer) unitOf(entries []Entry) {
 	top := 0.0
 	for _, e := range entries {
 		if e.Kind != b.terms.OriginKind {
 			top = max(top, e.Size)
+			b.ofKind[e.Kind] = max(b.ofKind[e.Kind], e.Size)
 		}
 	}
-	if b.unit != 0 || top <= 0 {
-		return false
+	if top > 0 {
+		b.unit = math.Exp2(math.Floor(math.Log2(top)))
 	}
-	b.unit = math.Exp2(math.Floor(math.Log2(top)))
-	return true
 }
 
 // note takes one entry; it tells whether the ring is touched.
 func (b *Balancer) note(e Entry) bool {
-	h := b.caches[e.Cache]
+	old := b.caches[e.Cache]
+	if old != nil && (old.Born == e.Born || old == b.origin) {
+		changed := old.Condition != e.Condition
+		old.Condition = e.Condition
+		return changed
+	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
-	if h == nil || e.Born != h.Born {
-		fresh := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), stretch: 1, weight: b.weight(e)}
-		fresh.health.width, fresh.sent.width = healthSlot, max(1, b.terms.FallWindow/(meterSlots-1))
-		if h != nil {
-			fresh.out, fresh.busySince, fresh.lastEnded = h.out, h.busySince, h.lastEnded
-			fresh.Condition = Gone
-		} else {
-			fresh.Condition = Gone
-		}
-		h = fresh
-		b.caches[e.Cache] = h
-		if b.terms.Aside && e.Kind == b.terms.OriginKind {
-			b.origin = h
-			h.Born = 0
-		}
+	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
+	h.health.width, h.stretch.width = healthSlot, healthSlot
+	h.sent.width = max(1, b.terms.FallWindow/(meterSlots-1))
+	if old != nil {
+		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
 	}
-	changed := h.Condition != e.Condition
-	h.Condition = e.Condition
-	return changed
-}
-
-func (b *Balancer) weight(e Entry) float64 {
-	w := e.Size
-	if b.terms.LiveSizes {
-		if b.ofKind[e.Kind] == 0 {
-			b.ofKind[e.Kind] = e.Size
-		}
-		w = math.Exp2(math.Round(2*math.Log2(b.ofKind[e.Kind])) / 2)
+	if size := b.ofKind[e.Kind]; b.terms.LiveSizes && size > 0 {
+		h.weight = math.Exp2(math.Round(2*math.Log2(size)) / 2)
 	}
-	if b.terms.SizesEqual || !(w > 0) {
-		w = max(b.unit, 1)
+	if b.terms.SizesEqual || !(h.weight > 0) {
+		h.weight = b.unit
 	}
-	return w
-}
-
-// beat does what is due by time alone.
-func (b *Balancer) beat() {
-	now := b.host.Now()
-	b.host.Wake(beatEvery, "beat")
-	if slot := int(now / keySlot % keySlots); slot != b.table.slot {
-		b.rotate(slot)
+	if b.terms.Aside && e.Kind == b.terms.OriginKind {
+		b.origin = h
 	}
+	b.caches[e.Cache] = h
+	return true
 }
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,124 @@
+package policy
+
+// What a Balancer remembers. How it is used is all in policy.go.
+
+// Balancer holds what one balancer knows.
+type Balancer struct {
+	host                   Host
+	terms                  Terms
+	seed, draws            uint64
+	caches                 map[CacheID]*cache
+	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
+	origin                 *cache   // never nil; where caches fetch, it stands for what their fetches meet
+	ring                   []point
+	unit                   float64          // listed size that gets the nominal number of points
+	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
+	calls                  map[CallID]*call
+	fetching               map[Key]*call // the API call that asks the origin for a key
+	table                  keyTable
+	allowances             []allowance
+	tempos                 []meter // by product: seconds that shots at caches took, and how many
+	topValue, squeeze      float64
+	pace                   meter // the same of all products
+	all, warmDone, further meter // shots at caches, fulfilments by warm ones, further shots
+	backoff                Nanos // before the next try to follow the list
+	retrying               bool
+}
+
+// cache is a cache host, or the origin.
+type cache struct {
+	Entry
+	weight               float64
+	out                  int // this balancer's shots that have not ended
+	busySince, lastEnded Nanos
+	limit                float64 // shots out that it is seen to bear
+	cutAt                Nanos
+	rest, restUntil      Nanos
+	health, sent         meter
+	stretch              meter // of its shots' times against calm ones
+}
+
+type call struct {
+	Call
+	terms        *ProductTerms
+	began        Nanos
+	shots        []shot
+	out          int
+	over, stream bool
+	above        bool   // beyond its customer's allowance
+	waiting      bool   // held until another API call's fetch ends
+	waited       bool   // it has been held once
+	missedAt     *cache // where it missed last
+	fetch        bool   // it asks the origin, those behind it wait
+	behind       []*call
+}
+
+type shot struct {
+	at   *cache
+	sent Nanos
+	out  bool
+	ran  bool // may have run
+	far  bool // goes on to the origin: to it, or a write or a likely miss where caches fetch
+}
+
+type point struct {
+	hash uint64
+	at   *cache
+}
+
+// allowance is a customer's bucket of API calls and its lately seen rate.
+type allowance struct {
+	tokens float64
+	at     Nanos
+	seen   meter // a second
+}
+
+// keyUse counts this balancer's reads and writes of one key.
+type keyUse struct {
+	key    Key
+	read   [keySlots]uint32
+	write  [keySlots]uint32
+	copyAt CacheID
+	kept   bool // read well since it was last written: a cache has it, likely
+}
+
+type keyTable struct {
+	at    map[Key]int
+	use   []keyUse
+	slot  int
+	hand  int
+	total [keySlots]float64
+}
+
+func (u *keyUse) sum() (reads, writes float64) {
+	for i := range keySlots {
+		reads += float64(u.read[i])
+		writes += float64(u.write[i])
+	}
+	return reads, writes
+}
+
+func (t *keyTable) reads() (sum float64) {
+	for _, n := range t.total {
+		sum += n
+	}
+	return sum
+}
+
+func (t *keyTable) find(k Key) *keyUse {
+	if i, ok := t.at[k]; ok {
+		return &t.use[i]
+	}
+	return nil
+}
+
+// remove forgets the i-th key; the last one takes its place.
+func (t *keyTable) remove(i int) {
+	delete(t.at, t.use[i].key)
+	last := len(t.use) - 1
+	if i < last {
+		t.use[i] = t.use[last]
+		t.at[t.use[i].key] = i
+	}
+	t.use = t.use[:last]
+}
