--- a/policy/policy.go
+++ b/policy/policy.go
@@ -614,8 +614,8 @@
 	calmLeast = 24         // endings that a slot needs: work differs by a factor of several
 )
 
-// stretchOf is how many times longer than in calm times a shot took, by its product's calmest slot lately.
-func (b *Balancer) stretchOf(c *call, took Nanos) float64 {
+// delayOf is the part of its SLO that a shot took beyond its product's calmest slot lately.
+func (b *Balancer) delayOf(c *call, took Nanos) float64 {
 	m := &b.tempos[c.Product]
 	m.add(b.host.Now(), took.seconds(), 1)
 	calm := math.Inf(1)
@@ -624,7 +624,10 @@
 			calm = min(calm, s.good/s.bad)
 		}
 	}
-	return max(1/stretched, took.seconds()/calm)
+	if math.IsInf(calm, 1) {
+		return 0
+	}
+	return (took.seconds() - calm) / c.terms.LatencySLO.seconds()
 }
 
 // learn takes a shot's outcome into the host's health and limit and the product's tempo.
@@ -645,10 +648,10 @@
 		bad, full = false, false
 	} else {
 		if e.Outcome == Fulfilled {
-			h.stretch.add(now, b.stretchOf(c, e.Took), 1)
+			h.delay.add(now, b.delayOf(c, e.Took), 1)
 		}
-		sum, n := h.stretch.faded(now)
-		b.adapt(h, slo, good, bad, full, (sum+stretchPrior)/(n+stretchPrior) > stretched)
+		sum, n := h.delay.faded(now)
+		b.adapt(h, slo, good, bad, full, sum > crowdedAt*(n+4))
 	}
 	h.health.tell(now, good, bad)
 	b.all.tell(now, good, bad)
@@ -721,10 +724,8 @@
 	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
-	// A host whose shots take this many times the calm tempo holds too many. Of 1.5, 1.8, 2.5, 4 and 8 the
-	// second did best over all deployments.
-	stretched    = 1.8
-	stretchPrior = 4 // calm shots granted to a host of which little was seen
+	// A host whose shots are this part of their SLO later than in calm times holds too many.
+	crowdedAt = 0.06
 )
 
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
@@ -845,7 +846,7 @@
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
-	h.health.width, h.stretch.width = healthSlot, healthSlot
+	h.health.width, h.delay.width = healthSlot, healthSlot
 	h.sent.width = max(1, b.terms.FallWindow/(meterSlots-1))
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,7 +35,7 @@
 	cutAt                Nanos
 	rest, restUntil      Nanos
 	health, sent         meter
-	stretch              meter // of its shots' times against calm ones
+	delay                meter // of its shots beyond calm times, in parts of their SLOs
 }
 
 type call struct {
