--- a/policy/policy.go
+++ b/policy/policy.go
@@ -606,6 +606,7 @@
 
 const (
 	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
+	delaySlot  = 500 * Millisecond  // crowding comes and goes in seconds
 	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
 
@@ -636,7 +637,7 @@
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
 	if h == b.origin {
-		b.adapt(h, slo, good, bad, full, e.Took > slo/2)
+		b.adapt(h, slo, good, bad, full, e.Took.seconds()/slo.seconds()*2)
 		return
 	}
 	if e.Outcome == Fulfilled {
@@ -644,14 +645,14 @@
 	}
 	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
 	if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
-		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, e.Took > slo/2)
+		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, e.Took.seconds()/slo.seconds()*2)
 		bad, full = false, false
 	} else {
 		if e.Outcome == Fulfilled {
 			h.delay.add(now, b.delayOf(c, e.Took), 1)
 		}
 		sum, n := h.delay.faded(now)
-		b.adapt(h, slo, good, bad, full, sum > crowdedAt*(n+4))
+		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt)
 	}
 	h.health.tell(now, good, bad)
 	b.all.tell(now, good, bad)
@@ -664,7 +665,7 @@
 }
 
 // adapt moves a limit: sharply down on what failed, slowly down when crowded, slowly up when it was needed.
-func (b *Balancer) adapt(h *cache, slo Nanos, good, bad, full, crowded bool) {
+func (b *Balancer) adapt(h *cache, slo Nanos, good, bad, full bool, crowd float64) {
 	now := b.host.Now()
 	if full && h.Cache != "" {
 		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
@@ -673,13 +674,15 @@
 	}
 	switch {
 	case (bad || full) && now-h.cutAt > slo/4:
-		h.limit, h.cutAt = max(1, h.limit*0.6), now
-	case good && crowded:
-		h.limit = max(1, h.limit-0.5/h.limit)
+		h.limit, h.cutAt = max(leastOut, h.limit*0.6), now
+	case good && crowd > 1:
+		if now-h.cutAt > slo/8 {
+			h.limit, h.cutAt = max(leastOut, h.limit*math.Pow(crowd, -0.125)), now
+		}
 	case good:
 		h.rest /= 2
 		if float64(h.out+1) >= h.limit/2 {
-			h.limit = min(mostOut, h.limit+1/h.limit)
+			h.limit = min(mostOut, h.limit+1/max(1, h.limit))
 		}
 	}
 }
@@ -687,11 +690,13 @@
 // overdue tells a hang before the first time-out: how many of the shots out at a host should have ended since
 // one last did, by the usual pace.
 func (b *Balancer) overdue(h *cache) float64 {
+	return float64(h.out) * (b.host.Now() - max(h.lastEnded, h.busySince)).seconds() / b.usual()
+}
+
+// usual is how long a shot at a cache takes lately, in seconds; a second while nothing is known.
+func (b *Balancer) usual() float64 {
 	took, n := b.pace.faded(b.host.Now())
-	if h.out == 0 || n == 0 {
-		return 0
-	}
-	return float64(h.out) * (b.host.Now() - max(h.lastEnded, h.busySince)).seconds() * n / took
+	return (took + 0.01) / (n + 0.01)
 }
 
 // hung is the number of endings overdue from which a host counts as hanging: by chance it is seen once in
@@ -722,6 +727,7 @@
 
 const (
 	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
+	leastOut  = 0.1 // as a duty: nobody is forgotten
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
 	// A host whose shots are this part of their SLO later than in calm times holds too many.
@@ -737,7 +743,11 @@
 	} else if c.terms.BilledValue < b.topValue/2 {
 		n *= 0.85
 	}
-	return float64(h.out) < max(1, n) && b.host.Now() >= h.restUntil
+	if now := b.host.Now(); n < 1 && h.out == 0 {
+		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
+		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
+	}
+	return float64(h.out) < n && b.host.Now() >= h.restUntil
 }
 
 // ---- fairness
@@ -846,7 +856,7 @@
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
-	h.health.width, h.delay.width = healthSlot, healthSlot
+	h.health.width, h.delay.width = healthSlot, delaySlot
 	h.sent.width = max(1, b.terms.FallWindow/(meterSlots-1))
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
