--- a/policy/policy.go
+++ b/policy/policy.go
@@ -606,7 +606,7 @@
 
 const (
 	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
-	delaySlot  = 500 * Millisecond  // crowding comes and goes in seconds
+	delaySlot  = 1000 * Millisecond  // crowding comes and goes in seconds
 	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
 
@@ -674,11 +674,9 @@
 	}
 	switch {
 	case (bad || full) && now-h.cutAt > slo/4:
-		h.limit, h.cutAt = max(leastOut, h.limit*0.6), now
+		h.limit, h.cutAt = max(b.least(), h.limit*0.6), now
 	case good && crowd > 1:
-		if now-h.cutAt > slo/8 {
-			h.limit, h.cutAt = max(leastOut, h.limit*math.Pow(crowd, -0.125)), now
-		}
+		h.limit = max(b.least(), h.limit-0.5/max(1, h.limit))
 	case good:
 		h.rest /= 2
 		if float64(h.out+1) >= h.limit/2 {
@@ -726,14 +724,16 @@
 }
 
 const (
-	firstOut  = 24  // shots that all balancers may have out at a host of which nothing is known
-	leastOut  = 0.1 // as a duty: nobody is forgotten
+	firstOut  = 12  // shots that all balancers may have out at a host of which nothing is known
+	leastOut  = 4   // shots that all balancers may have out at the least: about one a core
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
 	// A host whose shots are this part of their SLO later than in calm times holds too many.
 	crowdedAt = 0.06
 )
 
+func (b *Balancer) least() float64 { return min(1, leastOut/float64(b.terms.Balancers)) }
+
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
 // stops at half of what the host bears, and cheap products a little before dear ones.
 func (b *Balancer) bears(h *cache, c *call) bool {
