Carry a key past one busy host, start limits lower

Cause: in an overload keys spread over every host with room; their misses load the origin and each host holds many.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,7 +101,7 @@
 
 // reach is how many busy hosts a key is carried past. Farther, an overload would spread every key over
 // every cache and the misses would add the origin to the trouble. Three is as many as share a home's keys.
-const reach = 3
+const reach = 1
 
 func (b *Balancer) send(c *call, to *cache) {
 	now := b.host.Now()
@@ -724,7 +724,7 @@
 }
 
 const (
-	firstOut  = 12  // shots that all balancers may have out at a host of which nothing is known
+	firstOut  = 8   // shots that all balancers may have out at a host of which nothing is known
 	leastOut  = 4   // shots that all balancers may have out at the least: about one a core
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
