--- a/policy/policy.go
+++ b/policy/policy.go
@@ -606,7 +606,7 @@
 
 const (
 	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
-	delaySlot  = 1000 * Millisecond  // crowding comes and goes in seconds
+	delaySlot  = 1000 * Millisecond // crowding comes and goes in seconds
 	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
 
@@ -636,6 +636,14 @@
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
+	if full {
+		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
+		h.rest = min(max(firstRest, 2*h.rest), Second)
+		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
+		h.restFar = far && h != b.origin
+	} else if good {
+		h.rest /= 2
+	}
 	if h == b.origin {
 		b.adapt(h, slo, good, bad, full, e.Took.seconds()/slo.seconds()*2)
 		return
@@ -646,7 +654,6 @@
 	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
 	if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
 		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, e.Took.seconds()/slo.seconds()*2)
-		bad, full = false, false
 	} else {
 		if e.Outcome == Fulfilled {
 			h.delay.add(now, b.delayOf(c, e.Took), 1)
@@ -667,18 +674,12 @@
 // adapt moves a limit: sharply down on what failed, slowly down when crowded, slowly up when it was needed.
 func (b *Balancer) adapt(h *cache, slo Nanos, good, bad, full bool, crowd float64) {
 	now := b.host.Now()
-	if full && h.Cache != "" {
-		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
-		h.rest = min(max(firstRest, 2*h.rest), Second)
-		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
-	}
 	switch {
 	case (bad || full) && now-h.cutAt > slo/4:
 		h.limit, h.cutAt = max(b.least(), h.limit*0.6), now
 	case good && crowd > 1:
 		h.limit = max(b.least(), h.limit-0.5/max(1, h.limit))
 	case good:
-		h.rest /= 2
 		if float64(h.out+1) >= h.limit/2 {
 			h.limit = min(mostOut, h.limit+1/max(1, h.limit))
 		}
@@ -743,11 +744,15 @@
 	} else if c.terms.BilledValue < b.topValue/2 {
 		n *= 0.85
 	}
-	if now := b.host.Now(); n < 1 && h.out == 0 {
+	now := b.host.Now()
+	if now < h.restUntil && (!h.restFar || b.fetches(c)) { // full of fetches, it still answers hits
+		return false
+	}
+	if n < 1 && h.out == 0 {
 		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
-		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
+		return (now - h.lastEnded).seconds() >= b.usual()*(1/n-1)
 	}
-	return float64(h.out) < n && b.host.Now() >= h.restUntil
+	return float64(h.out) < n
 }
 
 // ---- fairness
