--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,11 +81,11 @@
 		mean += float64(h.out)
 	}
 	mean /= float64(max(1, len(b.byID)))
-	for pass := range 3 {
+	for pass := range 2 {
 		busy := 0
 		for _, h := range path {
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if busy > reach || asked || !b.coldMayTake(h, c) || pass < 2 && !b.trusted(h, c) {
+			if busy > reach || asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
@@ -157,7 +157,7 @@
 	}
 	if e.Outcome == Missed {
 		c.missedAt = s.at
-		b.missed(c, e.Note)
+		b.missed(c)
 		return
 	}
 	if c.out == 0 {
@@ -190,7 +190,8 @@
 func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
 
 // impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
-// answers nothing (a hang) loses the shot while there is time for another.
+// answers nothing (a hang) loses the shot while there is time for another, on more evidence than it takes to
+// lose new ones: a recall throws work away. Three times did better than once, on hangs too.
 func (b *Balancer) impatient(c *call) {
 	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
 	age := b.host.Now() - c.began
@@ -198,7 +199,7 @@
 		return
 	}
 	second := b.terms.SecondCopies
-	if b.overdue(c.shots[i].at) > hung || second && age >= c.terms.LatencySLO/2 {
+	if b.overdue(c.shots[i].at) > 3*hung || second && age >= c.terms.LatencySLO/2 {
 		if second && c.out == 1 && b.furtherPays() {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
 				b.send(c, to)
@@ -483,24 +484,16 @@
 // ---- the origin, where caches answer a miss
 
 // missed goes on with a read that a cache lacks: behind a fetch of the same key, or to the origin.
-func (b *Balancer) missed(c *call, note int) {
+func (b *Balancer) missed(c *call) {
 	if lead := b.fetching[c.Key]; lead != nil && !c.waited {
 		lead.behind = append(lead.behind, c)
-		b.wait(c, c.terms.LatencySLO/2)
-		return
-	}
-	if note == 3 && !c.waited && len(c.shots)+2 < b.terms.MostShots {
-		b.wait(c, c.terms.LatencySLO/4) // another balancer's API call fetches it: ask the cache again
+		c.waiting, c.waited = true, true
+		b.host.Wake(c.terms.LatencySLO/2, WakeID("w"+c.ID))
 		return
 	}
 	b.askOrigin(c)
 }
 
-func (b *Balancer) wait(c *call, most Nanos) {
-	c.waiting, c.waited = true, true
-	b.host.Wake(most, WakeID("w"+c.ID))
-}
-
 // release lets go of those behind a fetch: to the cache that now has the value, or to the origin.
 func (b *Balancer) release(lead *call, stored bool) {
 	lead.fetch = false
@@ -516,7 +509,7 @@
 		c.waiting = false
 		if !stored {
 			c.waited = false
-			b.missed(c, 0)
+			b.missed(c)
 		} else {
 			c.missedAt = lead.missedAt
 			b.afterWait(c)
@@ -643,7 +636,6 @@
 		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
-		h.restFar = far && h != b.origin
 	} else if good {
 		h.rest /= 2
 	}
@@ -748,14 +740,11 @@
 		n *= 0.85
 	}
 	now := b.host.Now()
-	if now < h.restUntil && (!h.restFar || b.fetches(c)) { // full of fetches, it still answers hits
-		return false
-	}
 	if n < 1 && h.out == 0 {
 		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
-		return (now - h.lastEnded).seconds() >= b.usual()*(1/n-1)
+		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
 	}
-	return float64(h.out) < n
+	return now >= h.restUntil && float64(h.out) < n
 }
 
 // ---- fairness
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,7 +34,6 @@
 	limit                float64 // shots out that it is seen to bear
 	cutAt                Nanos
 	rest, restUntil      Nanos
-	restFar              bool // the rest is from what goes on to the origin only
 	health, sent         meter
 	delay                meter // of its shots beyond calm times, in parts of their SLOs
 }
