--- a/policy/meter.go
+++ b/policy/meter.go
@@ -1,18 +1,22 @@
 package policy
 
+import "cmp"
+
 const meterSlots = 8
 
 // meter sums two things in slots of time that are used again in a ring.
 type meter struct {
-	width Nanos
+	width Nanos // of a slot; 0: healthSlot
 	slots [meterSlots]struct {
 		turn      Nanos
 		good, bad float64
 	}
 }
 
+func (m *meter) span() Nanos { return cmp.Or(m.width, healthSlot) }
+
 func (m *meter) add(now Nanos, good, bad float64) {
-	turn := now / m.width
+	turn := now / m.span()
 	s := &m.slots[turn%meterSlots]
 	if s.turn != turn {
 		s.turn, s.good, s.bad = turn, 0, 0
@@ -35,7 +39,7 @@
 // faded sums the slots, the older the less.
 func (m *meter) faded(now Nanos) (good, bad float64) {
 	for _, s := range m.slots {
-		if age := now/m.width - s.turn; age < meterSlots {
+		if age := now/m.span() - s.turn; age < meterSlots {
 			f := 1 - float64(age)/meterSlots
 			good += f * s.good
 			bad += f * s.bad
@@ -47,7 +51,7 @@
 // total sums the good of all slots.
 func (m *meter) total(now Nanos) (good float64) {
 	for _, s := range m.slots {
-		if now/m.width-s.turn < meterSlots {
+		if now/m.span()-s.turn < meterSlots {
 			good += s.good
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,19 +18,14 @@
 	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
 		ofKind: map[Kind]float64{}, calls: map[CallID]*call{}, fetching: map[Key]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
+		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
 		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4}}
-	for _, m := range []*meter{&b.all, &b.warmDone, &b.further, &b.pace} {
-		m.width = healthSlot
-	}
-	for i := range terms.Customers {
-		b.allowances[i].seen.width = healthSlot
-	}
 	for i, p := range terms.Products {
 		b.topValue = max(b.topValue, p.BilledValue)
 		b.tempos[i].width = calmSlot
 	}
-	if terms.Aside {
-		b.origin.Condition = Gone // until it is listed
+	if terms.Aside { // until it is listed
+		b.origin.Condition = Gone
 	}
 	if terms.MustSubscribe {
 		host.Subscribe()
@@ -99,8 +94,8 @@
 	return nil
 }
 
-// reach is how many busy hosts a key is carried past. Farther, an overload would spread every key over
-// every cache and the misses would add the origin to the trouble. Three is as many as share a home's keys.
+// reach is how many busy hosts a key is carried past. Farther, an overload would spread every key over every
+// cache and the misses would bring the origin down too. Of none, one, two, three and six, one did best.
 const reach = 1
 
 func (b *Balancer) send(c *call, to *cache) {
@@ -374,8 +369,12 @@
 	if u == nil || c.Write || len(met) == 0 {
 		return met
 	}
-	b.weigh(u, met)
-	i := slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
+	// The candidate is the first successor in this zone; it becomes the copy above the threshold.
+	i := slices.IndexFunc(met, func(h *cache) bool { return h.Zone == b.terms.Zone })
+	if i > 0 && u.copyAt == "" && b.profit(u, met[0], met[i]) > b.threshold() {
+		u.copyAt = met[i].Cache
+	}
+	i = slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
 	if i < 1 || cmp.Or(cmp.Compare(b.hop(met[i]), b.hop(met[0])), cmp.Compare(met[i].Cache, met[0].Cache)) > 0 {
 		return met
 	}
@@ -395,14 +394,6 @@
 	return 3
 }
 
-// weigh makes this balancer's copy of a key: the first successor in its own zone, by profit.
-func (b *Balancer) weigh(u *keyUse, met []*cache) {
-	i := slices.IndexFunc(met, func(h *cache) bool { return h.Zone == b.terms.Zone })
-	if i > 0 && u.copyAt == "" && b.profit(u, met[0], met[i]) > b.threshold() {
-		u.copyAt = met[i].Cache
-	}
-}
-
 // profit is Estimate Profit: a write costs the copy one refill.
 func (b *Balancer) profit(u *keyUse, nearest, candidate *cache) float64 {
 	reads, writes := u.sum()
@@ -627,28 +618,50 @@
 	return (took.seconds() - calm) / c.terms.LatencySLO.seconds()
 }
 
+// singledOut tells that hosts fail or turn away one customer or one product far more than the rest. Blaming
+// the hosts, and resting them, would then take from everybody else what troubles only one.
+func (b *Balancer) singledOut(c *call) bool {
+	goodAll, badAll := b.unmet.faded(b.host.Now())
+	for _, m := range b.unmetFor(c) {
+		good, bad := m.faded(b.host.Now())
+		if rest := goodAll - good + badAll - bad; rest >= calmLeast && bad > 0.1*(good+bad) &&
+			bad/(good+bad) > 4*(badAll-bad+1)/rest {
+			return true
+		}
+	}
+	return false
+}
+
 // learn takes a shot's outcome into the host's health and limit and the product's tempo.
 func (b *Balancer) learn(h *cache, c *call, e Ending, far bool) {
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
-	if full {
-		// A full host answers at once and so looks idle: without a rest it would draw the traffic of all.
+	crowd := 2 * e.Took.seconds() / slo.seconds()
+	single := b.singledOut(c)
+	if full && !single { // a full host answers at once and looks idle: unrested it draws the traffic of all
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	} else if good {
 		h.rest /= 2
 	}
+	no := full || e.Outcome == Errored // an answer, but no
+	b.unmet.tell(now, good, no)
+	for _, m := range b.unmetFor(c) {
+		m.tell(now, good, no)
+	}
 	if h == b.origin {
-		b.adapt(h, slo, good, bad, full, e.Took.seconds()/slo.seconds()*2)
+		b.adapt(h, slo, good, bad, full, crowd)
 		return
 	}
 	if e.Outcome == Fulfilled {
 		b.pace.add(now, e.Took.seconds(), 1)
 	}
 	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
-	if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
-		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, e.Took.seconds()/slo.seconds()*2)
+	if no && single {
+		return
+	} else if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
+		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, crowd)
 	} else {
 		if e.Outcome == Fulfilled {
 			h.delay.add(now, b.delayOf(c, e.Took), 1)
@@ -674,10 +687,8 @@
 		h.limit, h.cutAt = max(b.least(), h.limit*0.6), now
 	case good && crowd > 1:
 		h.limit = max(b.least(), h.limit-0.5/max(1, h.limit))
-	case good:
-		if float64(h.out+1) >= h.limit/2 {
-			h.limit = min(mostOut, h.limit+1/max(1, h.limit))
-		}
+	case good && float64(h.out+1) >= h.limit/2:
+		h.limit = min(mostOut, h.limit+1/max(1, h.limit))
 	}
 }
 
@@ -794,9 +805,7 @@
 		b.followAgain()
 		return
 	}
-	if kind != ListRestored {
-		b.backoff = 0
-	}
+	b.backoff = 0
 	named := map[CacheID]bool{}
 	changed := kind != ListUpdate
 	if b.unit == 0 {
@@ -853,8 +862,7 @@
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
-	h.health.width, h.delay.width = healthSlot, delaySlot
-	h.sent.width = max(1, b.terms.FallWindow/(meterSlots-1))
+	h.delay.width, h.sent.width = delaySlot, max(1, b.terms.FallWindow/(meterSlots-1))
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
 	}
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -83,6 +83,7 @@
 	queue  []due
 	did    []string
 	counts map[string]int
+	off    map[Customer]Outcome
 	flood  int
 }
 
@@ -166,7 +167,11 @@
 	}
 	n := len(d.shots)
 	d.shots = append(d.shots, shot{at: &cache{Entry: h.Entry}, sent: s.now, out: true})
-	if r, ok := s.auto[to]; ok && r.took < timeout {
+	r, ok := s.auto[to]
+	if o, off := s.off[d.in.Customer]; off && ok {
+		r = reply{o, Millisecond, 0}
+	}
+	if ok && r.took < timeout {
 		s.later(r.took, func() { s.end(id, n, r.outcome, r.took, r.note) })
 	} else {
 		s.later(timeout, func() { s.end(id, n, TimedOut, timeout, 0) })
@@ -262,7 +267,12 @@
 		t.Aside, t.SecondCopies, t.MustSubscribe = o["aside"] != "", o["copies"] != "", o["subscribe"] != ""
 		t.OriginKind = Kind(o.num("origin", -1))
 		t.MostShots = int(o.num("shots", 6))
-	case "customer":
+	case "customer": // customer N OUTCOME: from now on all hosts answer it so
+		if len(w) == 3 {
+			n, _ := strconv.Atoi(w[1])
+			s.off = map[Customer]Outcome{Customer(n): outcomeWords[w[2]]}
+			break
+		}
 		t.Customers = append(t.Customers, CustomerTerms{AllowancePerS: o.num("allowance", 0)})
 	case "product":
 		e := map[string]Effect{"idempotent": Idempotent, "deduplicated": Deduplicated, "nonidempotent": NonIdempotent}[w[1]]
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,9 +19,11 @@
 	allowances             []allowance
 	tempos                 []meter // by product: seconds that shots at caches took, and how many
 	topValue, squeeze      float64
-	pace                   meter // the same of all products
-	all, warmDone, further meter // shots at caches, fulfilments by warm ones, further shots
-	backoff                Nanos // before the next try to follow the list
+	pace                   meter   // the same of all products
+	all, warmDone, further meter   // shots at caches, fulfilments by warm ones, further shots
+	unmet                  meter   // shots answered, and errored or turned away
+	unmetOf, unmetBy       []meter // the same by customer and by product
+	backoff                Nanos   // before the next try to follow the list
 	retrying               bool
 }
 
@@ -122,3 +124,8 @@
 	}
 	t.use = t.use[:last]
 }
+
+// unmetFor are the meters of what an API call shares with some others only.
+func (b *Balancer) unmetFor(c *call) [2]*meter {
+	return [2]*meter{&b.unmetOf[int(c.Customer)%len(b.unmetOf)], &b.unmetBy[c.Product]}
+}
