Round limits down, carry keys farther while nothing presses

Cause: a limit of 1.1 let two shots out; with a dozen balancers every host held twice what was meant.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,17 +70,17 @@
 // next picks the cache for the next shot: the nearest copy, else the home, else the successors.
 // A later pass drops a wish, never a bound: cold hosts, limits and hosts already asked stay out.
 func (b *Balancer) next(c *call) *cache {
-	path := b.path(c)
-	mean := 0.0
+	path, mean := b.path(c), 0.0
 	for _, h := range b.byID {
 		mean += float64(h.out)
 	}
 	mean /= float64(max(1, len(b.byID)))
+	far := reach + 3*(1-b.squeeze)
 	for pass := range 2 {
 		busy := 0
 		for _, h := range path {
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if busy > reach || asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
+			if float64(busy) > far || asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
@@ -94,8 +94,8 @@
 	return nil
 }
 
-// reach is how many busy hosts a key is carried past. Farther, an overload would spread every key over every
-// cache and the misses would bring the origin down too. Of none, one, two, three and six, one did best.
+// reach is how many busy hosts a key is carried past under pressure, and three more while nothing presses:
+// in an overload keys would spread over all caches and their misses bring the origin down. Of 0 to 6 one did best.
 const reach = 1
 
 func (b *Balancer) send(c *call, to *cache) {
@@ -731,7 +731,7 @@
 }
 
 const (
-	firstOut  = 8   // shots that all balancers may have out at a host of which nothing is known
+	firstOut  = 12  // shots that all balancers may have out at a host of which nothing is known
 	leastOut  = 4   // shots that all balancers may have out at the least: about one a core
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
@@ -755,7 +755,7 @@
 		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
 		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
 	}
-	return now >= h.restUntil && float64(h.out) < n
+	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
 }
 
 // ---- fairness
