--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,7 +59,7 @@
 // toCache makes the next shot at a cache, or gives up.
 func (b *Balancer) toCache(c *call) {
 	if to := b.next(c); to != nil && b.mayRepeat(c, to) && (!b.fetches(c) || b.originBears(c)) {
-		b.squeeze = max(0, b.squeeze-0.002)
+		b.squeeze = max(0, b.squeeze-0.005)
 		b.send(c, to)
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 // reach is how many busy hosts a key is carried past under pressure, and three more while nothing presses:
-// in an overload keys would spread over all caches and their misses bring the origin down. Of 0 to 6 one did best.
+// in an overload keys spread over all caches and their misses bring the origin down. Of 0 to 6 one did best.
 const reach = 1
 
 func (b *Balancer) send(c *call, to *cache) {
@@ -732,11 +732,11 @@
 
 const (
 	firstOut  = 12  // shots that all balancers may have out at a host of which nothing is known
-	leastOut  = 4   // shots that all balancers may have out at the least: about one a core
+	leastOut  = 6   // shots that all balancers may have out at the least: about one a core
 	mostOut   = 256 // more than any host here was seen to need
 	firstRest = 20 * Millisecond
 	// A host whose shots are this part of their SLO later than in calm times holds too many.
-	crowdedAt = 0.06
+	crowdedAt = 0.03
 )
 
 func (b *Balancer) least() float64 { return min(1, leastOut/float64(b.terms.Balancers)) }
