Lower the crowding bar where the whole fleet is late

Cause: in a fleet that slows down when crowded each balancer sees few of a host's shots and stops too late.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -143,35 +143,31 @@
 	if s.at == b.origin && c.fetch {
 		b.release(c, e.Outcome == Fulfilled)
 	}
-	if e.Final || e.Outcome == Fulfilled || c.over {
+	switch {
+	case e.Final || e.Outcome == Fulfilled || c.over:
 		if u := b.table.find(c.Key); u != nil && e.Outcome == Fulfilled {
 			u.kept = !c.Write
 		}
 		b.finish(c)
-		return
-	}
-	if e.Outcome == Missed {
+	case e.Outcome == Missed:
 		c.missedAt = s.at
 		b.missed(c)
-		return
-	}
-	if c.out == 0 {
+	case c.out == 0:
 		b.again(c, s.at)
 	}
 }
 
 // again makes a further shot after one that failed, or gives up.
 func (b *Balancer) again(c *call, failed *cache) {
-	now := b.host.Now()
-	if now >= c.began+c.terms.LatencySLO && c.terms.OverdueValue == 0 || !b.furtherPays() {
+	late := b.host.Now() >= c.began+c.terms.LatencySLO
+	switch {
+	case late && c.terms.OverdueValue == 0 || !b.furtherPays():
 		b.giveUp(c)
-		return
-	}
-	if failed == b.origin {
+	case failed == b.origin:
 		b.askOrigin(c)
-		return
+	default:
+		b.toCache(c)
 	}
-	b.toCache(c)
 }
 
 // furtherPays draws whether a further shot is made: as often as recent ones were fulfilled, so that in an
@@ -210,9 +206,6 @@
 
 // giveUp ends an API call that gets no answer: at once, so that the client can act.
 func (b *Balancer) giveUp(c *call) {
-	if c.over {
-		return
-	}
 	if b.mayRateLimit(c) {
 		b.host.RateLimit(c.ID, b.comeBack(c))
 	} else {
@@ -664,10 +657,14 @@
 		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, crowd)
 	} else {
 		if e.Outcome == Fulfilled {
-			h.delay.add(now, b.delayOf(c, e.Took), 1)
+			late := b.delayOf(c, e.Took)
+			h.delay.add(now, late, 1)
+			b.delay.add(now, late, 1)
 		}
 		sum, n := h.delay.faded(now)
-		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt)
+		fleet, all := b.delay.faded(now)
+		// Where all are late, crowding feeds itself and each balancer sees little of it: the bar sinks for all.
+		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
 	}
 	h.health.tell(now, good, bad)
 	b.all.tell(now, good, bad)
@@ -737,6 +734,7 @@
 	firstRest = 20 * Millisecond
 	// A host whose shots are this part of their SLO later than in calm times holds too many.
 	crowdedAt = 0.03
+	fleetLate = 0.06 // twice that; from here on it counts by the square
 )
 
 func (b *Balancer) least() float64 { return min(1, leastOut/float64(b.terms.Balancers)) }
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,6 +21,7 @@
 	topValue, squeeze      float64
 	pace                   meter   // the same of all products
 	all, warmDone, further meter   // shots at caches, fulfilments by warm ones, further shots
+	delay                  meter   // of shots at all caches, as cache.delay
 	unmet                  meter   // shots answered, and errored or turned away
 	unmetOf, unmetBy       []meter // the same by customer and by product
 	backoff                Nanos   // before the next try to follow the list
