Ask no origin where caches fetch: a miss there goes to the next cache

The drill of all outcomes sent a miss where none is due and got a shot at a host without a name. All three drills are clean.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,9 +24,6 @@
 		b.topValue = max(b.topValue, p.BilledValue)
 		b.tempos[i].width = calmSlot
 	}
-	if terms.Aside { // until it is listed
-		b.origin.Condition = Gone
-	}
 	if terms.MustSubscribe {
 		host.Subscribe()
 	}
@@ -149,7 +146,7 @@
 			u.kept = !c.Write
 		}
 		b.finish(c)
-	case e.Outcome == Missed:
+	case e.Outcome == Missed && b.terms.Aside: // elsewhere there is no origin to ask
 		c.missedAt = s.at
 		b.missed(c)
 	case c.out == 0:
@@ -531,7 +528,7 @@
 // What it could not answer in time is rate-limited at once: queued reads would come late and keep it slow.
 func (b *Balancer) askOrigin(c *call) {
 	o := b.origin
-	if o.Condition != Up || !b.mayRepeat(c, o) || !b.originBears(c) {
+	if o.Cache == "" || o.Condition != Up || !b.mayRepeat(c, o) || !b.originBears(c) {
 		b.pressed(c)
 		b.giveUp(c)
 		return
