--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -315,7 +315,9 @@
 	case "wait":
 		s.moveTo(s.now + Nanos(o.num("ns", 0)) + o.ms("ms", 0))
 	case "answer":
-		s.auto[CacheID(w[1])] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0))}
+		for _, h := range strings.Split(w[1], ",") {
+			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0))}
+		}
 	case "call":
 		s.arrive(CallID(w[1]), o, w[2])
 	case "flood": // flood N: so many API calls, each for a key of its own or all for key=
