--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 )
@@ -67,17 +68,16 @@
 // next picks the cache for the next shot: the nearest copy, else the home, else the successors.
 // A later pass drops a wish, never a bound: cold hosts, limits and hosts already asked stay out.
 func (b *Balancer) next(c *call) *cache {
-	path, mean := b.path(c), 0.0
-	for _, h := range b.byID {
-		mean += float64(h.out)
-	}
-	mean /= float64(max(1, len(b.byID)))
+	mean := float64(b.shotsOut) / float64(max(1, len(b.byID)))
 	far := reach + 3*(1-b.squeeze)
 	for pass := range 2 {
 		busy := 0
-		for _, h := range path {
+		for h := range b.path(c) {
+			if float64(busy) > far {
+				break
+			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if float64(busy) > far || asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
+			if asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
@@ -102,6 +102,9 @@
 	}
 	to.out++
 	to.sent.add(now, 1, 0)
+	if to != b.origin {
+		b.shotsOut++
+	}
 	far := b.fetches(c)
 	if far {
 		b.origin.out++
@@ -119,6 +122,9 @@
 	now := b.host.Now()
 	h, c := b.caches[e.Cache], b.calls[e.Call]
 	if h != nil {
+		if h.out > 0 && h != b.origin && h.Condition == Up {
+			b.shotsOut--
+		}
 		h.out = max(0, h.out-1)
 		h.lastEnded = now
 	}
@@ -318,60 +324,58 @@
 
 // rebuild lays the ring anew. It is equal at every balancer, so nothing of the instance enters it.
 func (b *Balancer) rebuild() {
-	b.byID, b.ring = b.byID[:0], b.ring[:0]
+	b.byID, b.shotsOut = b.byID[:0], 0
 	for _, h := range b.caches {
 		if h != b.origin && h.Condition == Up {
 			b.byID = append(b.byID, h)
+			b.shotsOut += h.out
 		}
 	}
 	slices.SortFunc(b.byID, func(x, y *cache) int { return cmp.Compare(x.Cache, y.Cache) })
-	for _, h := range b.byID {
-		n := min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
-		for i := range n {
-			b.ring = append(b.ring, point{hash(string(h.Cache), uint64(i)), h})
-		}
-	}
-	slices.SortFunc(b.ring, func(x, y point) int {
-		return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.at.Cache, y.at.Cache))
+	b.ring.follow(b.byID, func(h *cache) int {
+		return min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
 	})
 }
 
-// successors are all caches in the order in which the ring meets them from the key on; the first is its home.
-func (b *Balancer) successors(k Key) []*cache {
-	var met []*cache
-	if len(b.ring) == 0 {
-		return nil
-	}
-	at := hash(string(k), 0)
-	i, _ := slices.BinarySearchFunc(b.ring, at, func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
-	for n := 0; n < len(b.ring) && len(met) < len(b.byID); n++ {
-		if h := b.ring[(i+n)%len(b.ring)].at; !slices.Contains(met, h) {
-			met = append(met, h)
+// path is the order in which caches are asked: a read's nearest copy first, then home and successors.
+func (b *Balancer) path(c *call) iter.Seq[*cache] {
+	first := b.nearest(c)
+	return func(yield func(*cache) bool) {
+		if first != nil && !yield(first) {
+			return
+		}
+		for h := range b.ring.from(c.Key) {
+			if h != first && !yield(h) {
+				return
+			}
 		}
 	}
-	return met
 }
 
-// path is the order in which caches are asked: a read's nearest copy first, then home and successors.
-func (b *Balancer) path(c *call) []*cache {
-	met := b.successors(c.Key)
+// nearest is a read's copy where that is nearer than its home, else nil. The candidate is the first successor
+// in this zone; it becomes the copy above the threshold.
+func (b *Balancer) nearest(c *call) *cache {
 	u := b.table.find(c.Key)
-	if u == nil || c.Write || len(met) == 0 {
-		return met
+	if u == nil || c.Write {
+		return nil
+	}
+	var home, candidate *cache
+	for h := range b.ring.from(c.Key) {
+		home = cmp.Or(home, h)
+		if h.Zone == b.terms.Zone {
+			candidate = h
+			break
+		}
 	}
-	// The candidate is the first successor in this zone; it becomes the copy above the threshold.
-	i := slices.IndexFunc(met, func(h *cache) bool { return h.Zone == b.terms.Zone })
-	if i > 0 && u.copyAt == "" && b.profit(u, met[0], met[i]) > b.threshold() {
-		u.copyAt = met[i].Cache
+	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold() {
+		u.copyAt = candidate.Cache
 	}
-	i = slices.IndexFunc(met, func(h *cache) bool { return h.Cache == u.copyAt })
-	if i < 1 || cmp.Or(cmp.Compare(b.hop(met[i]), b.hop(met[0])), cmp.Compare(met[i].Cache, met[0].Cache)) > 0 {
-		return met
+	h := b.caches[u.copyAt]
+	if h == nil || home == nil || h == home || h.Condition != Up ||
+		cmp.Or(cmp.Compare(b.hop(h), b.hop(home)), cmp.Compare(h.Cache, home.Cache)) > 0 {
+		return nil
 	}
-	h := met[i]
-	copy(met[1:i+1], met[:i])
-	met[0] = h
-	return met
+	return h
 }
 
 // ---- copies by profit
@@ -453,8 +457,11 @@
 	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
 		if at := b.caches[u.copyAt]; at != nil {
-			if met := b.successors(u.key); at.Condition != Up || b.profit(u, met[0], at) < least {
-				u.copyAt = ""
+			for home := range b.ring.from(u.key) {
+				if at.Condition != Up || b.profit(u, home, at) < least {
+					u.copyAt = ""
+				}
+				break
 			}
 		}
 		if reads, writes := u.sum(); reads+writes == 0 {
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -222,8 +222,11 @@
 		left, _ := strconv.Atoi(n)
 		for i := 0; !found || left > 0; i++ {
 			key = fmt.Sprint("k", i)
-			if met := s.b.successors(Key(key)); met[0].Cache == CacheID(host) {
-				left, found = left-1, true
+			for home := range s.b.ring.from(Key(key)) {
+				if home.Cache == CacheID(host) {
+					left, found = left-1, true
+				}
+				break
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,5 +1,11 @@
 package policy
 
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
 // What a Balancer remembers. How it is used is all in policy.go.
 
 // Balancer holds what one balancer knows.
@@ -10,7 +16,8 @@
 	caches                 map[CacheID]*cache
 	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
 	origin                 *cache   // never nil; where caches fetch, it stands for what their fetches meet
-	ring                   []point
+	ring                   ring
+	shotsOut               int              // at byID
 	unit                   float64          // listed size that gets the nominal number of points
 	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
 	calls                  map[CallID]*call
@@ -32,6 +39,8 @@
 type cache struct {
 	Entry
 	weight               float64
+	place                int // in byID
+	onRing               bool
 	out                  int // this balancer's shots that have not ended
 	busySince, lastEnded Nanos
 	limit                float64 // shots out that it is seen to bear
@@ -64,11 +73,70 @@
 	far  bool // where caches fetch: a write or a likely miss, which goes on to the origin
 }
 
+// ring holds the points of the caches that are up, in the order of their hashes.
+type ring struct {
+	points []point
+	hosts  int
+}
+
 type point struct {
 	hash uint64
 	at   *cache
 }
 
+func order(x, y point) int {
+	return cmp.Or(cmp.Compare(x.hash, y.hash), cmp.Compare(x.at.Cache, y.at.Cache))
+}
+
+// follow leaves the points of hosts that stay where they are and sorts in new ones only: while hosts are
+// replaced the list changes all the time, at every balancer.
+func (r *ring) follow(hosts []*cache, points func(*cache) int) {
+	for _, p := range r.points {
+		p.at.place = -1
+	}
+	var fresh []point
+	for i, h := range hosts {
+		if !h.onRing {
+			for n := range points(h) {
+				fresh = append(fresh, point{hash(string(h.Cache), uint64(n)), h})
+			}
+		}
+		h.onRing, h.place = true, i
+	}
+	slices.SortFunc(fresh, order)
+	all := make([]point, 0, len(r.points)+len(fresh))
+	for _, p := range r.points {
+		if p.at.onRing = p.at.place >= 0; !p.at.onRing {
+			continue
+		}
+		for len(fresh) > 0 && order(fresh[0], p) < 0 {
+			all, fresh = append(all, fresh[0]), fresh[1:]
+		}
+		all = append(all, p)
+	}
+	r.points, r.hosts = append(all, fresh...), len(hosts)
+}
+
+// from meets all caches in the order of the ring, from the key on; the first is its home.
+func (r *ring) from(k Key) iter.Seq[*cache] {
+	return func(yield func(*cache) bool) {
+		i, _ := slices.BinarySearchFunc(r.points, hash(string(k), 0),
+			func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
+		met, left := make([]bool, r.hosts), r.hosts
+		for n := 0; left > 0; n++ {
+			h := r.points[(i+n)%len(r.points)].at
+			if met[h.place] {
+				continue
+			}
+			met[h.place] = true
+			left--
+			if !yield(h) {
+				return
+			}
+		}
+	}
+}
+
 // allowance is a customer's bucket of API calls and its lately seen rate.
 type allowance struct {
 	tokens float64
