--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,7 +77,7 @@
 				break
 			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if asked || !b.coldMayTake(h, c) || pass == 0 && !b.trusted(h, c) {
+			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next.
@@ -85,7 +85,9 @@
 				busy++
 				continue
 			}
-			return h
+			if b.coldMayTake(h, c) {
+				return h
+			}
 		}
 	}
 	return nil
@@ -101,7 +103,6 @@
 		to.busySince = now
 	}
 	to.out++
-	to.sent.add(now, 1, 0)
 	if to != b.origin {
 		b.shotsOut++
 	}
@@ -560,31 +561,36 @@
 }
 
 // coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, and under it a
-// budget: this balancer's part of what would push it over, guessed from what warm hosts do for it.
+// budget: this balancer's part of what would push it over. A part smaller than one is drawn and spent either
+// way: a least of one each, times hundreds of balancers, pushed hosts over.
 func (b *Balancer) coldMayTake(h *cache, c *call) bool {
 	w := b.warmth(h)
 	if w == 1 {
 		return true
 	}
-	return part(hash(string(h.Cache)+string(c.Key), 1)) < w &&
-		h.sent.total(b.host.Now()) < b.coldBudget(h, w)
+	if part(hash(string(h.Cache)+string(c.Key), 1)) >= w {
+		return false
+	}
+	perS, now := b.coldRate(h, w), b.host.Now()
+	h.budget = min(perS*b.terms.FallWindow.seconds()/4, h.budget+perS*(now-h.budgetAt).seconds())
+	h.budgetAt = now
+	t := h.budget
+	h.budget = max(0, t-1)
+	return t >= 1 || b.chance() < t
 }
 
 // coldSafety halves the guess: API calls differ in work, and warm hosts may have done more than their share.
 const coldSafety = 0.5
 
-func (b *Balancer) coldBudget(h *cache, w float64) float64 {
-	now, weight := b.host.Now(), 0.0
+// coldRate guesses what a cold host may get, from what the fleet does. leastOut for all in a window lets a
+// fleet start of which nothing is warm.
+func (b *Balancer) coldRate(h *cache, w float64) float64 {
+	weight := 0.0
 	for _, o := range b.byID {
-		if b.warmth(o) == 1 {
-			weight += o.weight
-		}
-	}
-	if weight == 0 {
-		return 1
+		weight += o.weight * b.warmth(o)
 	}
-	perS := b.warmDone.total(now) / (float64(meterSlots) * healthSlot.seconds()) * h.weight / weight
-	return max(1, coldSafety*b.terms.FallMultiple*w*perS*b.terms.FallWindow.seconds())
+	perS := b.done.total(b.host.Now()) / (float64(meterSlots) * healthSlot.seconds()) * h.weight / weight
+	return max(coldSafety*b.terms.FallMultiple*w*perS, leastOut/float64(b.terms.Balancers)/b.terms.FallWindow.seconds())
 }
 
 // ---- health and limits
@@ -668,8 +674,8 @@
 	}
 	h.health.tell(now, good, bad)
 	b.all.tell(now, good, bad)
-	if good && b.warmth(h) == 1 {
-		b.warmDone.add(now, 1, 0)
+	if good {
+		b.done.add(now, 1, 0)
 	}
 	if bad && !c.above {
 		b.pressed(c)
@@ -862,7 +868,7 @@
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
-	h.delay.width, h.sent.width = delaySlot, max(1, b.terms.FallWindow/(meterSlots-1))
+	h.delay.width, h.budgetAt = delaySlot, b.host.Now()
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,29 +10,29 @@
 
 // Balancer holds what one balancer knows.
 type Balancer struct {
-	host                   Host
-	terms                  Terms
-	seed, draws            uint64
-	caches                 map[CacheID]*cache
-	byID                   []*cache // the caches that are up, in the order of their ids; never the origin
-	origin                 *cache   // never nil; where caches fetch, it stands for what their fetches meet
-	ring                   ring
-	shotsOut               int              // at byID
-	unit                   float64          // listed size that gets the nominal number of points
-	ofKind                 map[Kind]float64 // stands for the listed size where that follows the load
-	calls                  map[CallID]*call
-	fetching               map[Key]*call // the API call that asks the origin for a key
-	table                  keyTable
-	allowances             []allowance
-	tempos                 []meter // by product: seconds that shots at caches took, and how many
-	topValue, squeeze      float64
-	pace                   meter   // the same of all products
-	all, warmDone, further meter   // shots at caches, fulfilments by warm ones, further shots
-	delay                  meter   // of shots at all caches, as cache.delay
-	unmet                  meter   // shots answered, and errored or turned away
-	unmetOf, unmetBy       []meter // the same by customer and by product
-	backoff                Nanos   // before the next try to follow the list
-	retrying               bool
+	host               Host
+	terms              Terms
+	seed, draws        uint64
+	caches             map[CacheID]*cache
+	byID               []*cache // the caches that are up, in the order of their ids; never the origin
+	origin             *cache   // never nil; where caches fetch, it stands for what their fetches meet
+	ring               ring
+	shotsOut           int              // at byID
+	unit               float64          // listed size that gets the nominal number of points
+	ofKind             map[Kind]float64 // stands for the listed size where that follows the load
+	calls              map[CallID]*call
+	fetching           map[Key]*call // the API call that asks the origin for a key
+	table              keyTable
+	allowances         []allowance
+	tempos             []meter // by product: seconds that shots at caches took, and how many
+	topValue, squeeze  float64
+	pace               meter   // the same of all products
+	all, done, further meter   // shots at caches, those that were good, further shots
+	delay              meter   // of shots at all caches, as cache.delay
+	unmet              meter   // shots answered, and errored or turned away
+	unmetOf, unmetBy   []meter // the same by customer and by product
+	backoff            Nanos   // before the next try to follow the list
+	retrying           bool
 }
 
 // cache is a cache host, or the origin.
@@ -46,7 +46,9 @@
 	limit                float64 // shots out that it is seen to bear
 	cutAt                Nanos
 	rest, restUntil      Nanos
-	health, sent         meter
+	health               meter
+	budget               float64 // API calls that it may still get while cold
+	budgetAt             Nanos
 	delay                meter // of its shots beyond calm times, in parts of their SLOs
 }
 
