--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,7 +589,7 @@
 	for _, o := range b.byID {
 		weight += o.weight * b.warmth(o)
 	}
-	perS := b.done.total(b.host.Now()) / (float64(meterSlots) * healthSlot.seconds()) * h.weight / weight
+	perS := b.done.total(b.host.Now()) / window.seconds() * h.weight / weight
 	return max(coldSafety*b.terms.FallMultiple*w*perS, leastOut/float64(b.terms.Balancers)/b.terms.FallWindow.seconds())
 }
 
@@ -597,6 +597,7 @@
 
 const (
 	healthSlot = 1500 * Millisecond // with eight slots a host's past counts for twelve seconds
+	window     = meterSlots * healthSlot
 	delaySlot  = 1000 * Millisecond // crowding comes and goes in seconds
 	beatEvery  = 500 * Millisecond  // a quarter of a slot of the key table
 )
@@ -774,7 +775,7 @@
 	}
 }
 
-// beyondAllowance holds a customer to this balancer's part of its allowance, with a second's burst. The part
+// beyondAllowance holds a customer to this balancer's part of its allowance. The part
 // is not told: it is an equal one, or more if the median customer here uses more of its allowance than that,
 // lest a balancer that gets most of the traffic takes everybody for a glutton (1.25: most stay under it).
 func (b *Balancer) beyondAllowance(c *call) bool {
@@ -782,12 +783,7 @@
 		return false
 	}
 	a, now := &b.allowances[c.Customer], b.host.Now()
-	passed := (now - a.at).seconds()
-	if a.at == 0 {
-		passed = 1
-	}
-	a.at = now
-	a.seen.add(now, 1/(meterSlots*healthSlot.seconds()), 0)
+	a.seen.add(now, 1/window.seconds(), 0)
 	var parts []float64
 	for i := range b.allowances {
 		parts = append(parts, b.allowances[i].seen.total(now)/max(b.terms.Customers[i].AllowancePerS, 1e-9))
@@ -795,7 +791,14 @@
 	slices.Sort(parts)
 	part := min(1, max(1/float64(b.terms.Balancers), 1.25*parts[len(parts)/2]))
 	rate := part * b.terms.Customers[c.Customer].AllowancePerS
-	a.tokens = min(max(1, rate), a.tokens+rate*passed)
+	// A second's burst and twice the chance deviation of what the window holds: at few API calls a second
+	// most of what came in was else above.
+	burst := max(1, rate+2*math.Sqrt(rate*window.seconds()))
+	if a.at == 0 {
+		a.tokens = burst
+	}
+	a.tokens = min(burst, a.tokens+rate*(now-a.at).seconds())
+	a.at = now
 	if a.tokens < 1 {
 		return true
 	}
