--- a/policy/policy.go
+++ b/policy/policy.go
@@ -666,9 +666,12 @@
 		b.pace.add(now, e.Took.seconds(), 1)
 	}
 	// A cache answers for a slow origin with errors, full and late: blaming the cache would stop its hits too.
+	// But full without a word on the key is its own: a few that hang and are full would stop all fetches.
+	b.noted = b.noted || e.Note != 0
 	if single {
 		return
-	} else if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored || full) {
+	} else if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored ||
+		full && (e.Note != 0 || !b.noted)) {
 		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, crowd)
 	} else {
 		if e.Outcome == Fulfilled {
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,7 @@
 	unmet              meter   // shots answered, and errored or turned away
 	unmetOf, unmetBy   []meter // the same by customer and by product
 	backoff            Nanos   // before the next try to follow the list
-	retrying           bool
+	retrying, noted    bool    // noted: caches tell hits from misses
 }
 
 // cache is a cache host, or the origin.
