--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,8 +80,9 @@
 			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
-			// The design's yield: two or more above this balancer's mean goes to the next.
-			if pass == 0 && float64(h.out) >= mean+2 || !b.bears(h, c) {
+			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
+			// what hosts hold, so does, by draw, one that holds more than the others and one a core.
+			if pass == 0 && (float64(h.out) >= mean+2 || h.held*b.chance() > b.held+1) || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -845,6 +846,10 @@
 	if changed {
 		b.rebuild()
 	}
+	b.held = 0
+	for _, h := range b.byID {
+		b.held += h.held / float64(len(b.byID))
+	}
 }
 
 // followAgain tries again to follow the list: waits grow and are jittered, lest all balancers call together.
@@ -878,6 +883,9 @@
 	if old != nil && (old.Born == e.Born || old == b.origin) {
 		changed := old.Condition != e.Condition
 		old.Condition = e.Condition
+		if size := b.ofKind[e.Kind]; b.terms.LiveSizes && e.Size > 0 && e.Size <= size {
+			old.held = size/e.Size - 1
+		}
 		return changed
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,7 @@
 	unmet              meter   // shots answered, and errored or turned away
 	unmetOf, unmetBy   []meter // the same by customer and by product
 	backoff            Nanos   // before the next try to follow the list
+	held               float64 // a core, by the mean of caches, where the list tells
 	retrying, noted    bool    // noted: caches tell hits from misses
 }
 
@@ -43,6 +44,7 @@
 	onRing               bool
 	out                  int // this balancer's shots that have not ended
 	busySince, lastEnded Nanos
+	held                 float64 // API calls a core, as listed
 	limit                float64 // shots out that it is seen to bear
 	cutAt                Nanos
 	rest, restUntil      Nanos
