--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,13 +82,10 @@
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
 			// what hosts hold, so does, by draw, one that holds more than the others and one a core.
-			if pass == 0 && float64(h.out) >= mean+2 || !b.bears(h, c) {
+			if pass == 0 && float64(h.out) >= mean+2 || h.held*math.Sqrt(b.chance()) > 1.5+float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
 			}
-			if h.held*b.chance() > 1+float64(pass) {
-				continue
-			}
 			if b.coldMayTake(h, c) {
 				return h
 			}
