--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
 			// what hosts hold, so does, by draw, one that holds more than the others and one a core.
-			if pass == 0 && float64(h.out) >= mean+2 || h.held*math.Sqrt(b.chance()) > 1.5+float64(pass) || !b.bears(h, c) {
+			if pass == 0 && float64(h.out) >= mean+2 || h.held*b.chance() > 1+float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -884,7 +884,7 @@
 		changed := old.Condition != e.Condition
 		old.Condition = e.Condition
 		if size := b.ofKind[e.Kind]; b.terms.LiveSizes && e.Size > 0 && e.Size <= size {
-			old.held = size/e.Size - 1
+			old.held = max(size/e.Size-1, 0.8*old.held)
 		}
 		return changed
 	}
