--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 	b.count(c)
 	c.above = b.beyondAllowance(c)
 	switch {
-	case c.above && b.chance() < b.squeeze:
+	case c.above && b.chance() < max(b.squeeze, b.held/4):
 		b.giveUp(c)
 	case b.terms.Aside && c.Write: // caches do not take writes here
 		b.askOrigin(c)
@@ -884,7 +884,7 @@
 		changed := old.Condition != e.Condition
 		old.Condition = e.Condition
 		if size := b.ofKind[e.Kind]; b.terms.LiveSizes && e.Size > 0 && e.Size <= size {
-			old.held = max(size/e.Size-1, 0.8*old.held)
+			old.held = max(size/e.Size-1, 0.6*old.held)
 		}
 		return changed
 	}
