--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,6 +77,9 @@
 				break
 			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
+			if asked {
+				busy++
+			}
 			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
@@ -146,7 +149,7 @@
 	if h != nil {
 		b.learn(h, c, e, s.far)
 	}
-	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == "" {
+	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != TurnedAway && e.Outcome != Missed && c.missedAt == "" {
 		b.further.tell(now, e.Outcome == Fulfilled && inTime, e.Outcome != Fulfilled || !inTime)
 	}
 	if s.at == b.origin && c.fetch {
@@ -162,15 +165,15 @@
 		c.missedAt = s.at.Cache
 		b.missed(c)
 	case c.out == 0:
-		b.again(c, s.at)
+		b.again(c, s.at, e.Outcome == TurnedAway)
 	}
 }
 
-// again makes a further shot after one that failed, or gives up.
-func (b *Balancer) again(c *call, failed *cache) {
+// again makes a further shot after one that failed, or gives up. One that was turned away cost nothing.
+func (b *Balancer) again(c *call, failed *cache, free bool) {
 	late := b.host.Now() >= c.began+c.terms.LatencySLO
 	switch {
-	case late && c.terms.OverdueValue == 0 || !b.furtherPays():
+	case late && c.terms.OverdueValue == 0 || !free && !b.furtherPays():
 		b.giveUp(c)
 	case failed == b.origin:
 		b.askOrigin(c)
@@ -206,7 +209,7 @@
 	}
 	good, bad := b.waits[b.looks(c, c.shots[i])].faded(now)
 	fine, not := b.further.faded(now)
-	hopeless := b.draw(good+4, bad) < (fine+4)/(fine+not+4)/2
+	hopeless := b.draw(good+1, bad) < (fine+4)/(fine+not+4)/2
 	if hopeless || second && age >= c.terms.LatencySLO/2 {
 		if second && c.out == 1 && b.furtherPays() {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
