--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,9 +77,6 @@
 				break
 			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if asked {
-				busy++
-			}
 			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
 			}
@@ -142,15 +139,11 @@
 	if s.far {
 		b.origin.out--
 	}
-	inTime := now <= c.began+c.terms.LatencySLO
-	if s.at != b.origin && e.Outcome != Cancelled && e.Outcome != NeverSent {
-		b.tellWait(c, s, inTime && (e.Outcome == Fulfilled || e.Outcome == Missed))
-	}
 	if h != nil {
 		b.learn(h, c, e, s.far)
 	}
-	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != TurnedAway && e.Outcome != Missed && c.missedAt == "" {
-		b.further.tell(now, e.Outcome == Fulfilled && inTime, e.Outcome != Fulfilled || !inTime)
+	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == "" {
+		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
 	}
 	if s.at == b.origin && c.fetch {
 		b.release(c, e.Outcome == Fulfilled)
@@ -165,15 +158,15 @@
 		c.missedAt = s.at.Cache
 		b.missed(c)
 	case c.out == 0:
-		b.again(c, s.at, e.Outcome == TurnedAway)
+		b.again(c, s.at)
 	}
 }
 
-// again makes a further shot after one that failed, or gives up. One that was turned away cost nothing.
-func (b *Balancer) again(c *call, failed *cache, free bool) {
+// again makes a further shot after one that failed, or gives up.
+func (b *Balancer) again(c *call, failed *cache) {
 	late := b.host.Now() >= c.began+c.terms.LatencySLO
 	switch {
-	case late && c.terms.OverdueValue == 0 || !free && !b.furtherPays():
+	case late && c.terms.OverdueValue == 0 || !b.furtherPays():
 		b.giveUp(c)
 	case failed == b.origin:
 		b.askOrigin(c)
@@ -192,25 +185,17 @@
 // patience is how long a shot is left alone before its host is looked at: eight looks within the SLO.
 func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
 
-// impatient looks at an API call whose shot is still out. Whether it is worth waiting for is drawn from what
-// became of others that were out as long, and held against further shots: a host that answers nothing (a hang)
-// gets one shot in a minute from each of many balancers, which all know it too late. A recall throws work away,
-// so waiting must look half as good.
+// impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
+// answers nothing (a hang) loses the shot while there is time for another, on more evidence than it takes to
+// lose new ones: a recall throws work away. Three times did better than once, on hangs too.
 func (b *Balancer) impatient(c *call) {
 	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
-	if c.stream || i < 0 {
+	age := b.host.Now() - c.began
+	if c.stream || i < 0 || age >= c.terms.LatencySLO {
 		return
 	}
-	now := b.host.Now()
-	age, second := now-c.began, b.terms.SecondCopies
-	if age >= c.terms.LatencySLO {
-		b.tellWait(c, &c.shots[i], false)
-		return
-	}
-	good, bad := b.waits[b.looks(c, c.shots[i])].faded(now)
-	fine, not := b.further.faded(now)
-	hopeless := b.draw(good+1, bad) < (fine+4)/(fine+not+4)/2
-	if hopeless || second && age >= c.terms.LatencySLO/2 {
+	second := b.terms.SecondCopies
+	if b.overdue(c.shots[i].at) > 3*hung || second && age >= c.terms.LatencySLO/2 {
 		if second && c.out == 1 && b.furtherPays() {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
 				b.send(c, to)
@@ -224,19 +209,6 @@
 	b.host.Wake(b.patience(c), WakeID("p"+c.ID))
 }
 
-// looks is how often a shot has been looked at.
-func (b *Balancer) looks(c *call, s shot) int {
-	return min(len(b.waits)-1, int((b.host.Now()-s.sent+b.terms.Tick)/b.patience(c)))
-}
-
-// tellWait remembers, for each look at a shot, whether waiting on was worth it; once for each shot.
-func (b *Balancer) tellWait(c *call, s *shot, good bool) {
-	for i := 1; i <= b.looks(c, *s) && !s.told; i++ {
-		b.waits[i].tell(b.host.Now(), good, !good)
-	}
-	s.told = true
-}
-
 // giveUp ends an API call that gets no answer: at once, so that the client can act.
 func (b *Balancer) giveUp(c *call) {
 	if b.mayRateLimit(c) {
@@ -673,7 +645,7 @@
 func (b *Balancer) learn(h *cache, c *call, e Ending, far bool) {
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
-	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2 || !c.over)
+	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
 	crowd := 2 * e.Took.seconds() / slo.seconds()
 	no := full || e.Outcome == Errored // an answer, but no
 	single := no && b.singledOut(c)
@@ -766,17 +738,13 @@
 	allGood, allBad := b.all.faded(now)
 	// Bars of 0.6 and 0.9 made no difference above noise.
 	bar := 0.75 * (allGood + 4) / (allGood + allBad + 4)
+	x, n := good+1, good+bad+1
+	mean := x / n
 	if c.terms.Effect == NonIdempotent {
-		return (good+1)/(good+bad+1) >= bar
+		return mean >= bar
 	}
-	return b.draw(good+1, bad) >= bar
-}
-
-// draw is one from the posterior of a share.
-func (b *Balancer) draw(good, bad float64) float64 {
-	n := good + bad
 	z := (b.chance() + b.chance() + b.chance() + b.chance() - 2) * math.Sqrt(3)
-	return good/n + z*math.Sqrt(good/n*bad/n/(n+1))
+	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
 }
 
 const (
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,15 +26,14 @@
 	allowances         []allowance
 	tempos             []meter // by product: seconds that shots at caches took, and how many
 	topValue, squeeze  float64
-	pace               meter    // the same of all products
-	all, done, further meter    // shots at caches, those that were good, further shots
-	delay              meter    // of shots at all caches, as cache.delay
-	unmet              meter    // shots answered, and errored or turned away
-	unmetOf, unmetBy   []meter  // the same by customer and by product
-	backoff            Nanos    // before the next try to follow the list
-	waits              [8]meter // shots still out at each look, and whether they were in time
-	held               float64  // a core, by the mean of caches, where the list tells
-	retrying, noted    bool     // noted: caches tell hits from misses
+	pace               meter   // the same of all products
+	all, done, further meter   // shots at caches, those that were good, further shots
+	delay              meter   // of shots at all caches, as cache.delay
+	unmet              meter   // shots answered, and errored or turned away
+	unmetOf, unmetBy   []meter // the same by customer and by product
+	backoff            Nanos   // before the next try to follow the list
+	held               float64 // a core, by the mean of caches, where the list tells
+	retrying, noted    bool    // noted: caches tell hits from misses
 }
 
 // cache is a cache host, or the origin.
@@ -75,7 +74,6 @@
 	sent Nanos
 	out  bool
 	ran  bool // may have run
-	told bool // whether waiting for it was worth it
 	far  bool // where caches fetch: a write or a likely miss, which goes on to the origin
 }
 
