--- a/policy/policy.go
+++ b/policy/policy.go
@@ -357,34 +357,36 @@
 	}
 }
 
-// nearest is a read's copy where that is nearer than its home, else nil. The candidate is the first successor
-// in this zone; it becomes the copy above the threshold. A key read so much that it would crowd one cache has
-// its copies at several successors in the zone, and each balancer keeps to one of them.
+// nearest is where a read goes first. A key read so much that it would crowd one cache has its home at several
+// successors, and each balancer keeps to one of them. The candidate is the first successor in this zone; it
+// becomes the copy above the threshold.
 func (b *Balancer) nearest(c *call) *cache {
 	u := b.table.find(c.Key)
 	if u == nil || c.Write {
 		return nil
 	}
 	reads, _ := u.sum()
-	copies := 1 + max(0, reads-1)/b.table.reads()*float64(b.inZone)/hot
-	skip := int(copies * part(hash(string(c.Key), b.seed)))
-	var home *cache
+	homes := 1 + max(0, reads-1)/b.table.reads()*float64(len(b.byID))/hot
+	skip := int(homes * part(hash(string(c.Key), b.seed)))
+	var home, candidate *cache
 	for h := range b.ring.from(c.Key) {
-		home = cmp.Or(home, h)
-		if h.Zone != b.terms.Zone {
-			continue
+		if skip--; skip < 0 {
+			home = cmp.Or(home, h)
 		}
-		if skip > 0 {
-			skip--
-			continue
+		if h.Zone == b.terms.Zone {
+			candidate = cmp.Or(candidate, h)
 		}
-		u.copied = u.copied || b.profit(u, home) > b.threshold()
-		if u.copied || home.Zone == b.terms.Zone {
-			return h
+		if home != nil && candidate != nil {
+			break
 		}
-		break
 	}
-	return nil
+	if candidate == nil || home == nil {
+		return home
+	}
+	if u.copied = u.copied || b.profit(u, home) > b.threshold(); u.copied {
+		return candidate
+	}
+	return home
 }
 
 // hot is how many times a cache's mean share of reads one key may be.
@@ -408,7 +410,7 @@
 }
 
 func (b *Balancer) threshold() float64 {
-	return b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
+	return max(b.table.reads()/float64(max(1, len(b.byID))), 2) * (across - inZone)
 }
 
 const (
