--- a/policy/policy.go
+++ b/policy/policy.go
@@ -390,7 +390,7 @@
 }
 
 // hot is how many times a cache's mean share of reads one key may be.
-const hot = 2
+const hot = 0.3
 
 // ---- copies by profit
 
@@ -410,7 +410,7 @@
 }
 
 func (b *Balancer) threshold() float64 {
-	return max(b.table.reads()/float64(max(1, len(b.byID))), 2) * (across - inZone)
+	return b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
 }
 
 const (
