--- a/policy/policy.go
+++ b/policy/policy.go
@@ -187,7 +187,8 @@
 
 // impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
 // answers nothing (a hang) loses the shot while there is time for another, on more evidence than it takes to
-// lose new ones: a recall throws work away. Three times did better than once, on hangs too.
+// lose new ones: a recall throws work away. Three times did better than once, on hangs too. A second copy by
+// age is drawn against the pressure: in an overload all are late and copies make them later.
 func (b *Balancer) impatient(c *call) {
 	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
 	age := b.host.Now() - c.began
@@ -195,7 +196,7 @@
 		return
 	}
 	second := b.terms.SecondCopies
-	if b.overdue(c.shots[i].at) > 3*hung || second && age >= c.terms.LatencySLO/2 {
+	if b.overdue(c.shots[i].at) > 3*hung || second && age >= c.terms.LatencySLO/2 && b.chance() >= b.squeeze {
 		if second && c.out == 1 && b.furtherPays() {
 			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
 				b.send(c, to)
