--- a/policy/policy.go
+++ b/policy/policy.go
@@ -704,9 +704,10 @@
 	case (bad || full) && now-h.cutAt > slo/4:
 		h.limit, h.cutAt = max(b.least(), h.limit*0.6), now // 0.8 and more left hosts crowded, 0.4 won nothing
 	case good && crowd > 1:
-		h.limit = max(b.least(), h.limit-0.5/max(1, h.limit))
+		h.limit = max(b.least(), h.limit-min(0.5/max(1, h.limit), h.limit/6))
 	case good && float64(h.out+1) >= h.limit/2:
-		h.limit = min(mostOut, h.limit+1/max(1, h.limit))
+		// Never by more than a third: steps of one, times hundreds of balancers, made limits that bind nobody.
+		h.limit = min(mostOut, h.limit+min(1/max(1, h.limit), h.limit/3))
 	}
 }
 
@@ -894,7 +895,7 @@
 		return changed
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
-	h := &cache{Entry: e, limit: max(2, firstOut/float64(b.terms.Balancers)), weight: e.Size}
+	h := &cache{Entry: e, limit: firstOut / float64(b.terms.Balancers), weight: e.Size}
 	h.delay.width, h.budgetAt = delaySlot, b.host.Now()
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
