--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,6 +76,11 @@
 			if float64(busy) > far {
 				break
 			}
+			// Many balancers with one shot each still crowd a small host: a limit under one is one shot with a
+			// pause after it. A pause tells nothing of the host, so it does not count against the reach.
+			if h.out == 0 && (b.host.Now()-h.lastEnded).seconds() < b.usual()*(1/h.limit-1) {
+				continue
+			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
 			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
@@ -775,10 +780,6 @@
 		n *= 0.85
 	}
 	now := b.host.Now()
-	if n < 1 && h.out == 0 {
-		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
-		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
-	}
 	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
 }
 
