--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,11 +76,6 @@
 			if float64(busy) > far {
 				break
 			}
-			// Many balancers with one shot each still crowd a small host: a limit under one is one shot with a
-			// pause after it. A pause tells nothing of the host, so it does not count against the reach.
-			if h.out == 0 && (b.host.Now()-h.lastEnded).seconds() < b.usual()*(1/h.limit-1) {
-				continue
-			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
 			if asked || pass == 0 && !b.trusted(h, c) {
 				continue
@@ -759,7 +754,8 @@
 }
 
 const (
-	firstOut  = 12               // all may have out at a host not yet known; 24 crowded fleets of many balancers
+	firstOut  = 12               // all may have out at a host not yet known; 24 crowded fleets of a few balancers
+	sparseOut = 40               // the same where that is less than two each: a pause passes about a third of it on
 	leastOut  = 6                // all may have out at the least; of 2, 4, 6 and 8 six did best with crowdedAt
 	mostOut   = 256              // more than any host here was seen to need
 	firstRest = 20 * Millisecond // short against most work; doubled while it stays full
@@ -768,6 +764,11 @@
 	fleetLate = 0.06 // twice that; from here on it counts by the square
 )
 
+func (b *Balancer) firstLimit() float64 {
+	n := float64(b.terms.Balancers)
+	return max(firstOut/n, min(2, sparseOut/n))
+}
+
 func (b *Balancer) least() float64 { return min(1, leastOut/float64(b.terms.Balancers)) }
 
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
@@ -780,6 +781,10 @@
 		n *= 0.85
 	}
 	now := b.host.Now()
+	if n < 1 && h.out == 0 {
+		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
+		return now >= h.restUntil && (now-h.lastEnded).seconds() >= b.usual()*(1/n-1)
+	}
 	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
 }
 
@@ -896,7 +901,7 @@
 		return changed
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
-	h := &cache{Entry: e, limit: firstOut / float64(b.terms.Balancers), weight: e.Size}
+	h := &cache{Entry: e, limit: b.firstLimit(), weight: e.Size}
 	h.delay.width, h.budgetAt = delaySlot, b.host.Now()
 	if old != nil {
 		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
