--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	if terms.MustSubscribe {
 		host.Subscribe()
 	}
+	b.mean = sparseOut / float64(terms.Balancers)
 	host.Wake(beatEvery, "beat")
 	return b
 }
@@ -56,7 +57,7 @@
 
 // toCache makes the next shot at a cache, or gives up.
 func (b *Balancer) toCache(c *call) {
-	if to := b.next(c); to != nil && b.mayRepeat(c, to) && (!b.fetches(c) || b.originBears(c)) {
+	if to := b.next(c); to != nil && b.room(c) && b.mayRepeat(c, to) && (!b.fetches(c) || b.originBears(c)) {
 		b.squeeze = max(0, b.squeeze-0.005)
 		b.send(c, to)
 		return
@@ -686,6 +687,11 @@
 		// Where all are late, crowding feeds itself and each balancer sees little of it: the bar sinks for all.
 		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
 	}
+	if bad || full {
+		b.mean = max(b.least(), b.mean*0.95)
+	} else if good && float64(b.shotsOut+1) >= b.mean*float64(len(b.byID))/2 {
+		b.mean = min(mostOut, b.mean*1.05)
+	}
 	h.health.tell(now, good, bad)
 	b.zones[h.Zone].tell(now, good, bad)
 	b.all.tell(now, good, bad)
@@ -774,12 +780,7 @@
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
 // stops at half of what the host bears, and cheap products a little before dear ones.
 func (b *Balancer) bears(h *cache, c *call) bool {
-	n := h.limit
-	if c.above {
-		n /= 2
-	} else if c.terms.BilledValue < b.topValue/2 {
-		n *= 0.85
-	}
+	n := h.limit * b.portion(c)
 	now := b.host.Now()
 	if n < 1 && h.out == 0 {
 		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
@@ -788,6 +789,23 @@
 	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
 }
 
+// portion is the part of a limit that is open to this API call.
+func (b *Balancer) portion(c *call) float64 {
+	if c.above {
+		return 0.5
+	} else if c.terms.BilledValue < b.topValue/2 {
+		return 0.85
+	}
+	return 1
+}
+
+// room tells whether the fleet bears one more. Each of hundreds of balancers meets a host too seldom to see it
+// crowded, but sees together what became of its last shots: the limit of all falls where half of them are not
+// in time, and fewer hosts than that cannot pull it down.
+func (b *Balancer) room(c *call) bool {
+	return float64(b.shotsOut)+b.chance() < b.mean*float64(len(b.byID))*b.portion(c)
+}
+
 // ---- fairness
 
 // pressed notes that an API call within its allowance found no room: more of what lies beyond one is
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,6 +33,7 @@
 	unmetOf, unmetBy   []meter         // the same by customer and by product
 	backoff            Nanos           // before the next try to follow the list
 	zones              map[Zone]*meter // as all, by the caches' zones
+	mean               float64         // shots out at a host that the fleet is seen to bear
 	held               float64         // a core, by the mean of caches, where the list tells
 	retrying, noted    bool            // noted: caches tell hits from misses
 }
