--- a/policy/policy.go
+++ b/policy/policy.go
@@ -688,9 +688,9 @@
 		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
 	}
 	if bad || full {
-		b.mean = max(b.least(), b.mean*0.95)
+		b.mean = max(b.least(), b.mean*0.94)
 	} else if good && float64(b.shotsOut+1) >= b.mean*float64(len(b.byID))/2 {
-		b.mean = min(mostOut, b.mean*1.05)
+		b.mean = min(mostOut, b.mean*1.03)
 	}
 	h.health.tell(now, good, bad)
 	b.zones[h.Zone].tell(now, good, bad)
