--- a/policy/policy.go
+++ b/policy/policy.go
@@ -710,10 +710,10 @@
 	case (bad || full) && now-h.cutAt > slo/4:
 		h.limit, h.cutAt = max(b.least(), h.limit*0.6), now // 0.8 and more left hosts crowded, 0.4 won nothing
 	case good && crowd > 1:
-		h.limit = max(b.least(), h.limit-min(0.5/max(1, h.limit), h.limit/6))
+		h.limit = max(b.least(), h.limit-min(0.5, h.limit/2)/max(1, h.limit))
 	case good && float64(h.out+1) >= h.limit/2:
-		// Never by more than a third: steps of one, times hundreds of balancers, made limits that bind nobody.
-		h.limit = min(mostOut, h.limit+min(1/max(1, h.limit), h.limit/3))
+		// Never more than doubled: steps of one, times hundreds of balancers, made limits that bind nobody.
+		h.limit = min(mostOut, h.limit+min(1/max(1, h.limit), h.limit))
 	}
 }
 
