--- a/policy/policy.go
+++ b/policy/policy.go
@@ -328,14 +328,11 @@
 
 // rebuild lays the ring anew. It is equal at every balancer, so nothing of the instance enters it.
 func (b *Balancer) rebuild() {
-	b.byID, b.shotsOut, b.inZone = b.byID[:0], 0, 0
+	b.byID, b.shotsOut = b.byID[:0], 0
 	for _, h := range b.caches {
 		if h != b.origin && h.Condition == Up {
 			b.byID = append(b.byID, h)
 			b.shotsOut += h.out
-			if h.Zone == b.terms.Zone {
-				b.inZone++
-			}
 		}
 	}
 	slices.SortFunc(b.byID, func(x, y *cache) int { return cmp.Compare(x.Cache, y.Cache) })
@@ -360,38 +357,31 @@
 }
 
 // nearest is a read's copy where that is nearer than its home, else nil. The candidate is the first successor
-// in this zone; it becomes the copy above the threshold. A key read so much that it would crowd one cache has
-// its copies at several successors in the zone, and each balancer keeps to one of them.
+// in this zone; it becomes the copy above the threshold.
 func (b *Balancer) nearest(c *call) *cache {
 	u := b.table.find(c.Key)
 	if u == nil || c.Write {
 		return nil
 	}
-	reads, _ := u.sum()
-	copies := 1 + max(0, reads-1)/b.table.reads()*float64(b.inZone)/hot
-	skip := int(copies * part(hash(string(c.Key), b.seed)))
-	var home *cache
+	var home, candidate *cache
 	for h := range b.ring.from(c.Key) {
 		home = cmp.Or(home, h)
-		if h.Zone != b.terms.Zone {
-			continue
-		}
-		if skip > 0 {
-			skip--
-			continue
-		}
-		u.copied = u.copied || b.profit(u, home) > b.threshold()
-		if u.copied || home.Zone == b.terms.Zone {
-			return h
+		if h.Zone == b.terms.Zone {
+			candidate = h
+			break
 		}
-		break
 	}
-	return nil
+	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold() {
+		u.copyAt = candidate.Cache
+	}
+	h := b.caches[u.copyAt]
+	if h == nil || home == nil || h == home || h.Condition != Up ||
+		cmp.Or(cmp.Compare(b.hop(h), b.hop(home)), cmp.Compare(h.Cache, home.Cache)) > 0 {
+		return nil
+	}
+	return h
 }
 
-// hot is how many times a cache's mean share of reads one key may be.
-const hot = 2
-
 // ---- copies by profit
 
 const inZone, across = 1.0, 3.0 // the design's hop costs
@@ -403,10 +393,10 @@
 	return across
 }
 
-// profit is Estimate Profit of a candidate in this zone: a write costs the copy one refill.
-func (b *Balancer) profit(u *keyUse, nearest *cache) float64 {
+// profit is Estimate Profit: a write costs the copy one refill.
+func (b *Balancer) profit(u *keyUse, nearest, candidate *cache) float64 {
 	reads, writes := u.sum()
-	return reads*b.hop(nearest) - reads*inZone - writes*inZone
+	return reads*b.hop(nearest) - reads*b.hop(candidate) - writes*b.hop(candidate)
 }
 
 func (b *Balancer) threshold() float64 {
@@ -431,7 +421,7 @@
 		for range tableLook {
 			t.hand = (t.hand + 1) % tableSize
 			reads, writes := t.use[t.hand].sum()
-			if n := reads + writes; n < least && !t.use[t.hand].copied {
+			if n := reads + writes; n < least && t.use[t.hand].copyAt == "" {
 				i, least = t.hand, n
 			}
 		}
@@ -470,9 +460,11 @@
 	least := b.threshold() / 2
 	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
-		if u.copied {
+		if at := b.caches[u.copyAt]; at != nil {
 			for home := range b.ring.from(u.key) {
-				u.copied = b.profit(u, home) >= least
+				if at.Condition != Up || b.profit(u, home, at) < least {
+					u.copyAt = ""
+				}
 				break
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,7 +17,7 @@
 	byID               []*cache // the caches that are up, in the order of their ids; never the origin
 	origin             *cache   // never nil; where caches fetch, it stands for what their fetches meet
 	ring               ring
-	shotsOut, inZone   int              // at byID; how many of them are in this zone
+	shotsOut           int              // at byID
 	unit               float64          // listed size that gets the nominal number of points
 	ofKind             map[Kind]float64 // stands for the listed size where that follows the load
 	calls              map[CallID]*call
@@ -155,7 +155,7 @@
 	key    Key
 	read   [keySlots]uint32
 	write  [keySlots]uint32
-	copied bool // to a cache in this zone
+	copyAt CacheID
 	kept   bool // read well since it was last written: a cache has it, likely
 }
 
