--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
-		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{}, fetching: map[Key]*call{},
+		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
 		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4}}
@@ -143,12 +143,9 @@
 	if h != nil {
 		b.learn(h, c, e, s.far)
 	}
-	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && c.missedAt == "" {
+	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && !c.missed {
 		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
 	}
-	if s.at == b.origin && c.fetch {
-		b.release(c, e.Outcome == Fulfilled)
-	}
 	switch {
 	case e.Final || e.Outcome == Fulfilled || c.over:
 		if u := b.table.find(c.Key); u != nil && e.Outcome == Fulfilled {
@@ -156,8 +153,8 @@
 		}
 		b.finish(c)
 	case e.Outcome == Missed && b.terms.Aside: // elsewhere there is no origin to ask
-		c.missedAt = s.at.Cache
-		b.missed(c)
+		c.missed = true
+		b.askOrigin(c)
 	case c.out == 0:
 		b.again(c, s.at)
 	}
@@ -239,9 +236,6 @@
 				b.host.Cancel(c.ID, i)
 			}
 		}
-		if c.fetch { // a leader that leaves must not strand those behind it
-			b.release(c, false)
-		}
 	}
 	if c.out == 0 {
 		delete(b.calls, c.ID)
@@ -285,9 +279,6 @@
 		b.giveUp(c)
 	case id[0] == 'p':
 		b.impatient(c)
-	case id[0] == 'w' && c.waiting:
-		c.waiting = false
-		b.afterWait(c)
 	}
 }
 
@@ -407,32 +398,16 @@
 	keySlots  = 6 // the design's six slots of two seconds
 	keySlot   = 2 * Second
 	tableSize = 4096 // keys; a fraction of a megabyte, and many times the keys that are read twice in the window
-	tableLook = 8    // keys looked at for one to put out
 )
 
-// admit finds room for a key. When the table is full the least used of the next few gives way, and only if
-// it was used once: a flood of keys wanted once then turns over its own entries and not the ones that matter.
+// admit takes a key up while there is room: a flood of keys wanted once must not put out the ones that matter.
 func (t *keyTable) admit(k Key) *keyUse {
-	i := len(t.use)
-	if i < tableSize {
-		t.use = append(t.use, keyUse{})
-	} else {
-		least := math.Inf(1)
-		for range tableLook {
-			t.hand = (t.hand + 1) % tableSize
-			reads, writes := t.use[t.hand].sum()
-			if n := reads + writes; n < least && t.use[t.hand].copyAt == "" {
-				i, least = t.hand, n
-			}
-		}
-		if least > 1 {
-			return nil
-		}
-		delete(t.at, t.use[i].key)
+	if len(t.use) == tableSize {
+		return nil
 	}
-	t.use[i] = keyUse{key: k}
-	t.at[k] = i
-	return &t.use[i]
+	t.use = append(t.use, keyUse{key: k})
+	t.at[k] = len(t.use) - 1
+	return &t.use[len(t.use)-1]
 }
 
 func (b *Balancer) count(c *call) {
@@ -476,51 +451,6 @@
 
 // ---- the origin, where caches answer a miss
 
-// missed goes on with a read that a cache lacks: behind a fetch of the same key, or to the origin.
-func (b *Balancer) missed(c *call) {
-	if lead := b.fetching[c.Key]; lead != nil && !c.waited {
-		lead.behind = append(lead.behind, c)
-		c.waiting, c.waited = true, true
-		b.host.Wake(c.terms.LatencySLO/2, WakeID("w"+c.ID))
-		return
-	}
-	b.askOrigin(c)
-}
-
-// release lets go of those behind a fetch: to the cache that now has the value, or to the origin.
-func (b *Balancer) release(lead *call, stored bool) {
-	lead.fetch = false
-	if b.fetching[lead.Key] == lead {
-		delete(b.fetching, lead.Key)
-	}
-	behind := lead.behind
-	lead.behind = nil
-	for _, c := range behind {
-		if c.over || !c.waiting {
-			continue
-		}
-		c.waiting = false
-		if !stored {
-			c.waited = false
-			b.missed(c)
-		} else {
-			c.missedAt = lead.missedAt
-			b.afterWait(c)
-		}
-	}
-}
-
-// afterWait asks the cache that missed once more.
-func (b *Balancer) afterWait(c *call) {
-	h := b.caches[c.missedAt] // as it is listed now: it may have restarted, and be cold, since it missed
-	if h.Condition == Up && b.mayRepeat(c, h) && b.bears(h, c) && b.coldMayTake(h, c) &&
-		len(c.shots)+1 < b.terms.MostShots {
-		b.send(c, h)
-		return
-	}
-	b.askOrigin(c)
-}
-
 // fetches tells whether a shot at a cache likely goes on to the origin.
 func (b *Balancer) fetches(c *call) bool {
 	u := b.table.find(c.Key)
@@ -545,10 +475,6 @@
 		b.giveUp(c)
 		return
 	}
-	if !c.Write && b.fetching[c.Key] == nil {
-		b.fetching[c.Key] = c
-		c.fetch = true
-	}
 	b.send(c, o)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,7 +21,6 @@
 	unit               float64          // listed size that gets the nominal number of points
 	ofKind             map[Kind]float64 // stands for the listed size where that follows the load
 	calls              map[CallID]*call
-	fetching           map[Key]*call // the API call that asks the origin for a key
 	table              keyTable
 	allowances         []allowance
 	tempos             []meter // by product: seconds that shots at caches took, and how many
@@ -63,12 +62,8 @@
 	shots        []shot
 	out          int
 	over, stream bool
-	above        bool    // beyond its customer's allowance
-	waiting      bool    // held until another API call's fetch ends
-	waited       bool    // it has been held once
-	missedAt     CacheID // where it missed last
-	fetch        bool    // it asks the origin, those behind it wait
-	behind       []*call
+	above        bool // beyond its customer's allowance
+	missed       bool // a cache lacked its key
 }
 
 type shot struct {
@@ -163,7 +158,6 @@
 	at    map[Key]int
 	use   []keyUse
 	slot  int
-	hand  int
 	total [keySlots]float64
 }
 
