--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,8 +82,8 @@
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
-			// what hosts hold, so does, by draw, one that holds more than the others and one a core.
-			if pass == 0 && float64(h.out) >= mean+2 || h.held*b.chance() > 1+float64(pass) || !b.bears(h, c) {
+			// what hosts hold, so does, by draw, one that holds more than two a core: of 1 to 3 two did best.
+			if pass == 0 && float64(h.out) >= mean+2 || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -400,7 +400,7 @@
 	tableSize = 4096 // keys; a fraction of a megabyte, and many times the keys that are read twice in the window
 )
 
-// admit takes a key up while there is room: a flood of keys wanted once must not put out the ones that matter.
+// admit takes a key up while there is room: a flood of keys wanted once must not put out those that matter.
 func (t *keyTable) admit(k Key) *keyUse {
 	if len(t.use) == tableSize {
 		return nil
@@ -519,7 +519,8 @@
 		weight += o.weight * b.warmth(o)
 	}
 	perS := b.done.total(b.host.Now()) / window.seconds() * h.weight / weight
-	return max(coldSafety*b.terms.FallMultiple*w*perS, leastOut/float64(b.terms.Balancers)/b.terms.FallWindow.seconds())
+	least := leastOut / float64(b.terms.Balancers) / b.terms.FallWindow.seconds()
+	return max(coldSafety*b.terms.FallMultiple*w*perS, least)
 }
 
 // ---- health and limits
@@ -652,8 +653,9 @@
 const hung = 9
 
 // trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
-// troubles all (a slow origin, an overload) blames none. What the host's zone did lately is the prior: a cut or
-// lost zone would else cost every balancer a shot at each of its hosts. Work that cannot be repeated takes no draw.
+// troubles all (a slow origin, an overload) blames none. What the host's zone did lately is the prior: a cut
+// or lost zone would else cost every balancer a shot at each of its hosts. Work that cannot be repeated takes
+// no draw.
 func (b *Balancer) trusted(h *cache, c *call) bool {
 	now := b.host.Now()
 	good, bad := h.health.faded(now)
@@ -678,8 +680,8 @@
 }
 
 const (
-	firstOut  = 12               // all may have out at a host not yet known; 24 crowded fleets of a few balancers
-	sparseOut = 40               // the same where that is less than two each: a pause passes about a third of it on
+	firstOut  = 12               // all may have out at a host not yet known; 24 crowded small fleets
+	sparseOut = 40               // the same where that is below two each: 12 turned popular keys away
 	leastOut  = 6                // all may have out at the least; of 2, 4, 6 and 8 six did best with crowdedAt
 	mostOut   = 256              // more than any host here was seen to need
 	firstRest = 20 * Millisecond // short against most work; doubled while it stays full
@@ -717,9 +719,9 @@
 	return 1
 }
 
-// room tells whether the fleet bears one more. Each of hundreds of balancers meets a host too seldom to see it
-// crowded, but sees together what became of its last shots: the limit of all falls where a third of them are not
-// in time, and fewer hosts than that cannot pull it down.
+// room tells whether the fleet bears one more. Each of hundreds of balancers meets a host too seldom to see
+// it crowded, but sees together what became of its last shots: the limit of all falls where a third of them
+// are not in time, and fewer hosts than that cannot pull it down.
 func (b *Balancer) room(c *call) bool {
 	return float64(b.shotsOut)+b.chance() < b.mean*float64(len(b.byID))*b.portion(c)
 }
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -271,7 +271,7 @@
 	switch w[0] {
 	case "terms":
 		t.Balancers = int(o.num("balancers", 1))
-		t.Aside, t.SecondCopies, t.MustSubscribe = o["aside"] != "", o["copies"] != "", o["subscribe"] != ""
+		t.Aside, t.SecondCopies, t.MustSubscribe, t.LiveSizes = o["aside"] != "", o["copies"] != "", o["subscribe"] != "", o["live"] != ""
 		t.OriginKind = Kind(o.num("origin", -1))
 		t.MostShots = int(o.num("shots", 6))
 	case "customer": // customer N OUTCOME: from now on all hosts answer it so
