--- a/policy/policy.go
+++ b/policy/policy.go
@@ -606,7 +606,7 @@
 		// Where all are late, crowding feeds itself and each balancer sees little of it: the bar sinks for all.
 		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
 		if bad || full {
-			b.mean = max(b.least(), b.mean*0.94)
+			b.mean = max(b.least(), b.mean*0.9)
 		} else if good && float64(b.shotsOut+1) >= b.mean*float64(len(b.byID))/2 {
 			b.mean = min(mostOut, b.mean*1.03)
 		}
@@ -720,7 +720,7 @@
 }
 
 // room tells whether the fleet bears one more. Each of hundreds of balancers meets a host too seldom to see
-// it crowded, but sees together what became of its last shots: the limit of all falls where a third of them
+// it crowded, but sees together what became of its last shots: the limit of all falls where a quarter of them
 // are not in time, and fewer hosts than that cannot pull it down.
 func (b *Balancer) room(c *call) bool {
 	return float64(b.shotsOut)+b.chance() < b.mean*float64(len(b.byID))*b.portion(c)
