--- a/policy/policy.go
+++ b/policy/policy.go
@@ -753,9 +753,9 @@
 	slices.Sort(parts)
 	part := min(1, max(1/float64(b.terms.Balancers), 1.25*parts[len(parts)/2]))
 	rate := part * b.terms.Customers[c.Customer].AllowancePerS
-	// A second's burst and twice the chance deviation of what the window holds: at few API calls a second
+	// A second's burst and the chance deviation of what the window holds: at few API calls a second
 	// most of what came in was else above.
-	burst := max(1, rate+2*math.Sqrt(rate*window.seconds()))
+	burst := max(1, rate+math.Sqrt(rate*window.seconds()))
 	if a.at == 0 {
 		a.tokens = burst
 	}
