Name the fleet's limit, ask the ring for a home in one place

The loop that stopped at the first cache stood in the module and in the tests; the count of shots out was guarded twice.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,8 @@
 		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
-		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4}}
+		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4},
+		fleetBears: sparseOut / float64(terms.Balancers)}
 	for i, p := range terms.Products {
 		b.topValue = max(b.topValue, p.BilledValue)
 		b.tempos[i].width = calmSlot
@@ -28,7 +29,6 @@
 	if terms.MustSubscribe {
 		host.Subscribe()
 	}
-	b.mean = sparseOut / float64(terms.Balancers)
 	host.Wake(beatEvery, "beat")
 	return b
 }
@@ -125,10 +125,12 @@
 	now := b.host.Now()
 	h, c := b.caches[e.Cache], b.calls[e.Call]
 	if h != nil {
-		if h.out > 0 && h != b.origin && h.Condition == Up {
-			b.shotsOut--
+		if h.out > 0 {
+			h.out--
+			if h != b.origin && h.Condition == Up {
+				b.shotsOut--
+			}
 		}
-		h.out = max(0, h.out-1)
 		h.lastEnded = now
 	}
 	if c == nil || e.Shot < 0 || e.Shot >= len(c.shots) || !c.shots[e.Shot].out {
@@ -436,11 +438,9 @@
 	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
 		if at := b.caches[u.copyAt]; at != nil {
-			for home := range b.ring.from(u.key) {
-				if at.Condition != Up || b.profit(u, home, at) < least {
-					u.copyAt = ""
-				}
-				break
+			home := b.ring.home(u.key)
+			if home != nil && (at.Condition != Up || b.profit(u, home, at) < least) {
+				u.copyAt = ""
 			}
 		}
 		if reads, writes := u.sum(); reads+writes == 0 {
@@ -606,9 +606,9 @@
 		// Where all are late, crowding feeds itself and each balancer sees little of it: the bar sinks for all.
 		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
 		if bad || full {
-			b.mean = max(b.least(), b.mean*0.9)
-		} else if good && float64(b.shotsOut+1) >= b.mean*float64(len(b.byID))/2 {
-			b.mean = min(mostOut, b.mean*1.03)
+			b.fleetBears = max(b.least(), b.fleetBears*0.9)
+		} else if good && float64(b.shotsOut+1) >= b.fleetBears*float64(len(b.byID))/2 {
+			b.fleetBears = min(mostOut, b.fleetBears*1.03)
 		}
 	}
 	h.health.tell(now, good, bad)
@@ -723,7 +723,7 @@
 // it crowded, but sees together what became of its last shots: the limit of all falls where a quarter of them
 // are not in time, and fewer hosts than that cannot pull it down.
 func (b *Balancer) room(c *call) bool {
-	return float64(b.shotsOut)+b.chance() < b.mean*float64(len(b.byID))*b.portion(c)
+	return float64(b.shotsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
 }
 
 // ---- fairness
@@ -737,9 +737,9 @@
 	}
 }
 
-// beyondAllowance holds a customer to this balancer's part of its allowance. The part
-// is not told: it is an equal one, or more if the median customer here uses more of its allowance than that,
-// lest a balancer that gets most of the traffic takes everybody for a glutton (1.25: most stay under it).
+// beyondAllowance holds a customer to this balancer's part of its allowance. The part is not told: it is an
+// equal one, or more if the median customer here uses more of its allowance than that, lest a balancer that
+// gets most of the traffic takes everybody for a glutton (1.25: most stay under it).
 func (b *Balancer) beyondAllowance(c *call) bool {
 	if int(c.Customer) >= len(b.allowances) || b.terms.Customers[c.Customer].AllowancePerS <= 0 {
 		return false
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -223,11 +223,8 @@
 		left, _ := strconv.Atoi(n)
 		for i := 0; !found || left > 0; i++ {
 			key = fmt.Sprint("k", i)
-			for home := range s.b.ring.from(Key(key)) {
-				if home.Cache == CacheID(host) {
-					left, found = left-1, true
-				}
-				break
+			if s.b.ring.home(Key(key)).Cache == CacheID(host) {
+				left, found = left-1, true
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,7 @@
 	unmetOf, unmetBy   []meter         // the same by customer and by product
 	backoff            Nanos           // before the next try to follow the list
 	zones              map[Zone]*meter // as all, by the caches' zones
-	mean               float64         // shots out at a host that the fleet is seen to bear
+	fleetBears         float64         // shots out at a host that the fleet is seen to bear
 	held               float64         // a core, by the mean of caches, where the list tells
 	retrying, noted    bool            // noted: caches tell hits from misses
 }
@@ -118,6 +118,14 @@
 	r.points, r.hosts = append(all, fresh...), len(hosts)
 }
 
+// home is the first cache from the key on, nil where the ring is empty.
+func (r *ring) home(k Key) *cache {
+	for h := range r.from(k) {
+		return h
+	}
+	return nil
+}
+
 // from meets all caches in the order of the ring, from the key on; the first is its home.
 func (r *ring) from(k Key) iter.Seq[*cache] {
 	return func(yield func(*cache) bool) {
