--- a/cmd/streamrail/main.go
+++ b/cmd/streamrail/main.go
@@ -19,6 +19,8 @@
 // run returns the exit code: 0 after an ordered end, 2 after a faulty start, 1 where it was cut short.
 func run() int {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	again := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile: the file is read after it
+	signal.Notify(again, syscall.SIGHUP)
 	told, err := deployment.FromEnvironment(os.Getenv)
 	if err != nil {
 		log.Error().Err(err).Msg("faulty configuration")
@@ -39,6 +41,15 @@
 		close(cut)
 		b.Stop()
 	}()
+	go func() {
+		for range again {
+			if told, err := told.Again(os.Getenv); err != nil {
+				log.Error().Err(err).Msg("faulty configuration, nothing changed")
+			} else {
+				b.Reload(told)
+			}
+		}
+	}()
 	if err := b.Run(); err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return 2
--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -528,3 +528,60 @@
 		}
 	}
 }
+
+// A new configuration under load: the list comes from the new address from then on, also where a variable named
+// the old one, and nothing more is heard from there; no API call is lost. A faulty file changes nothing.
+func TestReload(t *testing.T) {
+	x, y := newHost(t, "x", hit), newHost(t, "y", hit)
+	old, next := newList(t), newList(t)
+	old.set("x", x.addr, "cache", "active")
+	next.set("y", y.addr, "cache", "active")
+	cfg := config(old, freeAddr(t), nil)
+	p := serving(t, cfg, "GW_DISCOVERY="+addr(old.Server))
+	stop, answers := make(chan struct{}), make(chan string, 1)
+	go func() { // API calls all the while
+		c := p.dial(t)
+		for n := 0; ; n++ {
+			id := fmt.Sprint("r", n)
+			if a := c.ask(get("k", id, 900)); a != "VA 10 O"+id+"|value of k" {
+				answers <- a
+				return
+			}
+			select {
+			case <-stop:
+				answers <- "all"
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	await(t, x.came, "work")
+	p.reload(t, "{", `faulty configuration, nothing changed`)
+	faulty := config(next, p.addr, map[string]any{"balancers": "few"})
+	p.reload(t, faulty, "settings.balancers")
+	cfg["discovery"], cfg["seed"] = freeAddr(t), "1" // silent: nobody is there
+	p.reload(t, cfg, `"kept_until_restart":["seed"]`)
+	cfg["discovery"] = addr(next.Server)
+	p.reload(t, cfg, `"discovery":"`+addr(next.Server)+`","kept`)
+	p.Process.Signal(syscall.SIGHUP) // once more, with nothing new
+	next.knows(t)
+	await(t, x.ended, "the end of the kept connection to the host that is listed no more")
+	before := x.count()
+	old.set("x", x.addr, "cache", "active") // unheard
+	for range 20 {
+		await(t, y.came, "work")
+	}
+	close(stop)
+	expect(t, await(t, answers, "the end of the work"), "all")
+	if x.count() != before {
+		t.Errorf("%d sent where only the old address points", x.count()-before)
+	}
+	c := p.dial(t)
+	expect(t, c.ask("mn\r\n"), "MN")
+	p.Process.Signal(syscall.SIGTERM)
+	expect(t, c.next(), "EOF")
+	p.Process.Signal(syscall.SIGHUP) // while it drains
+	if code := p.exit(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
--- a/cmd/streamrail/stand_test.go
+++ b/cmd/streamrail/stand_test.go
@@ -16,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -259,9 +260,56 @@
 // running is the program as it runs.
 type running struct {
 	*exec.Cmd
-	addr string
-	log  *bytes.Buffer
-	done chan error
+	addr, config string // where clients connect; the configuration's path
+	log          *lines
+	done         chan error
+}
+
+// lines is the program's log, which a test may read while it runs.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// says waits for a line of the log.
+func (p *running) says(t *testing.T, text string) {
+	t.Helper()
+	for began := time.Now(); !strings.Contains(p.log.String(), text); time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > patience {
+			t.Fatalf("the log never says %q", text)
+		}
+	}
+}
+
+// reload replaces the configuration and tells the program so; it waits for the line of the log.
+func (p *running) reload(t *testing.T, config any, says string) {
+	t.Helper()
+	write(t, p.config, config)
+	p.Process.Signal(syscall.SIGHUP)
+	p.says(t, says)
+}
+
+// write lays a configuration down; text that is no map is written as it is.
+func write(t *testing.T, path string, config any) {
+	text, _ := json.Marshal(config)
+	if s, ok := config.(string); ok {
+		text = []byte(s)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
 }
 
 var addrs atomic.Uint32
@@ -277,17 +325,11 @@
 	return l.Addr().String()
 }
 
-// launch starts the program on a configuration; text that is no map is written as it is.
+// launch starts the program on a configuration.
 func launch(t *testing.T, config any, env ...string) *running {
 	path := filepath.Join(t.TempDir(), "config.json")
-	text, _ := json.Marshal(config)
-	if s, ok := config.(string); ok {
-		text = []byte(s)
-	}
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := &running{Cmd: exec.Command(program), log: &bytes.Buffer{}, done: make(chan error, 1)}
+	write(t, path, config)
+	p := &running{Cmd: exec.Command(program), config: path, log: &lines{}, done: make(chan error, 1)}
 	p.Env = append(os.Environ(), append([]string{"GW_CONFIG=" + path}, env...)...)
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
@@ -336,8 +378,8 @@
 	return serving(t, config(d, freeAddr(t), change)), d
 }
 
-func serving(t *testing.T, config map[string]any) *running {
-	p := launch(t, config)
+func serving(t *testing.T, config map[string]any, env ...string) *running {
+	p := launch(t, config, env...)
 	p.addr = config["listen"].(string)
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", p.addr); err == nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -4,6 +4,7 @@
 package balancer
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"streamrail/internal/deployment"
-	"streamrail/internal/discovery"
 	"streamrail/internal/memcache"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
@@ -22,11 +22,13 @@
 	told  *deployment.Deployment
 	log   zerolog.Logger
 	hosts *upstream.Hosts
-	watch discovery.Watch
 	epoch time.Time // the module's clock is Unix time that goes on from here
 
 	phase     atomic.Int32
 	changed   chan struct{} // a phase was ordered
+	running   context.Context
+	end       context.CancelFunc // of running
+	source    source
 	subscribe chan struct{}
 
 	// mu guards the module, which is not concurrent, and what its orders touch. Nothing is sent, written or
@@ -52,8 +54,9 @@
 		clients:    newClients(room/2-room/16, room/2),
 		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/valuesPart/memcache.MostValue),
 		hosts: upstream.New(upstream.Limits{Open: room / 2, Origin: mostToOrigin, Connect: told.ConnectTimeout,
-			Idle: told.IdleLimit * 3 / 4, Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind),
-		watch: discovery.Watch{Addr: told.Discovery, Names: discovery.Names{Zones: told.Zones, Kinds: told.Kinds}}}
+			Idle: told.IdleLimit * 3 / 4, Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
+	b.running, b.end = context.WithCancel(context.Background())
+	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
 	b.decide(func() { b.module = policy.New(host{b}, told.Terms, told.Seed) })
 	return b
 }
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"streamrail/internal/deployment"
 	"streamrail/internal/discovery"
 	"streamrail/policy"
 )
@@ -14,7 +16,7 @@
 	if len(b.told.Known) == 0 || string(b.told.Known) == "null" {
 		return
 	}
-	l, err := b.watch.Names.Parse(b.told.Known)
+	l, err := b.names().Parse(b.told.Known)
 	if err != nil {
 		b.log.Warn().Err(err).Str("key", "known").Msg("the list last known is not readable, left out")
 		return
@@ -36,16 +38,53 @@
 	b.decide(func() { b.module.Listed(kind, entries) })
 }
 
+// source is where the list comes from.
+type source struct {
+	mu    sync.Mutex // also held while a list is handed on: once an address is left, nothing is heard of it
+	addr  string
+	stop  context.CancelFunc // ends the watch there; nil before the first
+	first chan struct{}      // closed once there is a list
+	once  sync.Once
+}
+
+func (b *Balancer) names() discovery.Names {
+	return discovery.Names{Zones: b.told.Zones, Kinds: b.told.Kinds}
+}
+
+// watch follows the list at the source's address from now on, from the whole list; the watch before it ends.
+func (b *Balancer) watch() {
+	b.source.mu.Lock()
+	defer b.source.mu.Unlock()
+	subscribed := !b.told.Terms.MustSubscribe
+	if b.source.stop != nil {
+		b.source.stop()
+		subscribed = true // the module has asked for it at its start
+	}
+	ctx, stop := context.WithCancel(b.running)
+	b.source.stop = stop
+	go b.follow(ctx, &discovery.Watch{Addr: b.source.addr, Names: b.names()}, subscribed)
+}
+
+// Reload takes a configuration that was read and checked while the balancer runs: it follows the list where
+// that says from now on. What only a restart can change is named.
+func (b *Balancer) Reload(told *deployment.Deployment) {
+	b.log.Info().Str("discovery", told.Discovery).Strs("kept_until_restart", b.told.Fixed(told)).Msg("configuration reloaded")
+	b.source.mu.Lock()
+	same, begun := told.Discovery == b.source.addr, b.source.stop != nil
+	b.source.addr = told.Discovery
+	b.source.mu.Unlock()
+	if begun && !same {
+		b.watch()
+	}
+}
+
 // Between tries to reach discovery: it is on this machine, and while it is down it says nothing.
 const firstAgain, lastAgain = 100 * time.Millisecond, 2 * time.Second
 
-// follow keeps the list; listed is closed once there is one. Where the module subscribes by itself it also
-// decides when to try again.
-func (b *Balancer) follow(ctx context.Context, listed chan<- struct{}) {
-	defer b.watch.Close()
+// follow keeps the list. Where the module subscribes by itself it also decides when to try again.
+func (b *Balancer) follow(ctx context.Context, watch *discovery.Watch, subscribed bool) {
+	defer watch.Close()
 	lag := firstAgain
-	bySelf := !b.told.Terms.MustSubscribe
-	subscribed := bySelf
 	for {
 		if !subscribed {
 			select {
@@ -55,21 +94,17 @@
 				return
 			}
 		}
-		l, err := b.watch.Next(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil:
+		l, err := watch.Next(ctx)
+		if err == nil {
 			lag = firstAgain
-			b.take(l)
-			if listed != nil {
-				close(listed)
-				listed = nil
-			}
+			b.take(ctx, l)
 			continue
 		}
-		b.log.Warn().Err(err).Msg("discovery")
-		if !bySelf {
+		if ctx.Err() != nil {
+			return
+		}
+		b.log.Warn().Err(err).Str("discovery", watch.Addr).Msg("discovery")
+		if b.told.Terms.MustSubscribe {
 			subscribed = false
 			b.decide(func() { b.module.Listed(policy.ListUnavailable, nil) })
 			continue
@@ -85,10 +120,16 @@
 }
 
 // take hands an answer of discovery on; one that waited for nothing brings nothing.
-func (b *Balancer) take(l discovery.List) {
+func (b *Balancer) take(ctx context.Context, l discovery.List) {
+	b.source.mu.Lock()
+	defer b.source.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	if l.Whole {
 		b.listed(policy.ListReplace, l)
 	} else if len(l.Hosts) > 0 {
 		b.listed(policy.ListUpdate, l)
 	}
+	b.source.once.Do(func() { close(b.source.first) })
 }
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"time"
@@ -53,13 +52,11 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer listener.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	defer b.end()
 	b.restore()
-	listed := make(chan struct{})
-	go b.follow(ctx, listed)
+	b.watch()
 	select {
-	case <-listed:
+	case <-b.source.first:
 	case <-b.changed: // ordered to end before it served
 	case <-time.After(startWait):
 		b.log.Warn().Msg("no list from discovery yet, serving with the one last known")
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -30,10 +31,39 @@
 
 	ConnectTimeout, IdleLimit, DrainGrace time.Duration
 	MostOpen                              int // API calls in hand
+
+	settings any // as they stand in the file
 }
 
 // FromEnvironment reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY win over it.
 func FromEnvironment(getenv func(string) string) (*Deployment, error) {
+	return read(getenv, false)
+}
+
+// Again reads the file once more, while the balancer runs. What it says now wins over the variables, which are
+// as old as the process.
+func (d *Deployment) Again(getenv func(string) string) (*Deployment, error) {
+	return read(getenv, true)
+}
+
+// Fixed names the keys in which another deployment differs and that only a restart can change.
+func (d *Deployment) Fixed(other *Deployment) (keys []string) {
+	for _, v := range []struct {
+		key    string
+		differ bool
+	}{
+		{"name", d.Name != other.Name}, {"listen", d.Listen != other.Listen}, {"seed", d.Seed != other.Seed},
+		{"limits.memory_mb", d.MemoryMB != other.MemoryMB}, {"limits.sockets", d.Sockets != other.Sockets},
+		{"settings", !reflect.DeepEqual(d.settings, other.settings)},
+	} {
+		if v.differ {
+			keys = append(keys, v.key)
+		}
+	}
+	return keys
+}
+
+func read(getenv func(string) string, fileWins bool) (*Deployment, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, errors.New("GW_CONFIG: expected the path of the configuration file")
@@ -42,10 +72,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	return parse(text, getenv)
+	return parse(text, getenv, fileWins)
 }
 
-func parse(text []byte, getenv func(string) string) (*Deployment, error) {
+func parse(text []byte, getenv func(string) string, fileWins bool) (*Deployment, error) {
 	var file struct {
 		Name, Listen, Discovery string
 		Seed                    string
@@ -65,7 +95,7 @@
 		name string
 		to   *string
 	}{{"GW_NAME", &d.Name}, {"GW_LISTEN", &d.Listen}, {"GW_DISCOVERY", &d.Discovery}} {
-		if s := getenv(v.name); s != "" {
+		if s := getenv(v.name); s != "" && !(fileWins && *v.to != "") {
 			*v.to = s
 		}
 	}
@@ -102,6 +132,7 @@
 	if err := dec.Decode(&tree); err != nil || tree == nil {
 		return fmt.Errorf("settings: expected an object, got %.50s", settings)
 	}
+	d.settings = tree
 	pairs := Pairs{}
 	flatten(pairs, "", tree)
 	var err error
