--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -22,10 +22,13 @@
 	return &clients{all: map[*client]struct{}{}, most: most, open: open, none: make(chan struct{}), left: make(chan struct{}, 1)}
 }
 
-// idleLeast is how long a connection has stood idle before it may make room: one that was answered just now
-// often has its next command on the way, and closing it then loses that API call. Clients that are busy come
-// back within a few milliseconds.
-const idleLeast = 250 * time.Millisecond
+// idleLeast is how long a connection that has carried an API call stands idle before it may make room, as the
+// operators allow it: one that was answered just now often has its next command on the way. One that has carried
+// none yet was opened for a command that follows at once; after silentLeast it is taken for one that says nothing.
+const (
+	idleLeast   = 2 * time.Second
+	silentLeast = 100 * time.Millisecond
+)
 
 // enter counts a connection in.
 func (cs *clients) enter(c *client) {
@@ -35,26 +38,37 @@
 	cs.room()
 }
 
-// room tells whether all that are open may be served. Over the limit the one that is idle longest makes room;
-// where all are in use what comes is turned away for now.
+// room tells whether all that are open may be served. Over the limit one makes room: of those that have carried
+// no API call yet, which may be silent or talk nonsense for good, the oldest, else the one that is idle longest.
+// Where all are in use what comes is turned away for now.
 func (cs *clients) room() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if len(cs.all) <= cs.most {
 		return true
 	}
-	var oldest *client
-	since := time.Now().Add(-idleLeast).UnixNano()
+	var leaves, idle *client
+	now := time.Now()
+	silentSince, idleSince := now.Add(-silentLeast).UnixNano(), now.Add(-idleLeast).UnixNano()
 	for o := range cs.all {
-		if at := o.idleSince.Load(); at != 0 && at < since {
-			oldest, since = o, at
+		at := o.idleSince.Load()
+		switch {
+		case at == 0:
+		case !o.proven.Load() && at < silentSince:
+			leaves, silentSince = o, at
+		case o.proven.Load() && at < idleSince:
+			idle, idleSince = o, at
 		}
 	}
-	if oldest == nil {
+	if leaves == nil {
+		leaves = idle
+	}
+	if leaves == nil {
 		return false
 	}
-	oldest.idleSince.Store(0)
-	oldest.wake()
+	leaves.idleSince.Store(0) // none is told twice
+	leaves.outOfRoom.Store(true)
+	leaves.wake()
 	return true
 }
 
@@ -112,7 +126,7 @@
 			select {
 			case <-b.clients.left:
 			case <-time.After(20 * time.Millisecond):
-				b.clients.room()
+				b.clients.room() // for one of those that wait to be taken
 			}
 		}
 		conn, err := listener.Accept()
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -17,32 +17,38 @@
 type client struct {
 	net       net.Conn
 	in        *bufio.Reader
+	opened    time.Time
 	readAt    time.Time     // when the last bytes came
+	due       time.Time     // when the command that has begun must be whole
 	within    atomic.Bool   // a command has begun to come
 	used      atomic.Bool   // it has carried a command
-	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand and before the first command
+	proven    atomic.Bool   // it has carried an API call
+	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
+	outOfRoom atomic.Bool   // it makes room for others
 	gone      chan struct{} // closed when the client has gone away
 	last      chan struct{} // closed when the last command is answered
 	behind    chan struct{} // holds one for each API call in hand
 }
 
 const (
-	commandWait = 5 * time.Second // between the parts of one command
-	firstWait   = time.Minute     // for the first command of a connection
+	commandWait = 2500 * time.Millisecond // for the whole of a command
+	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
+	idleMost    = 5 * time.Second         // between commands: some clients ask once and never close
 	lastLook    = time.Millisecond
 	mostBehind  = 32 // API calls of one connection in hand
 )
 
 func newClient(conn net.Conn) *client {
-	c := &client{net: conn, gone: make(chan struct{}), last: make(chan struct{}), behind: make(chan struct{}, mostBehind)}
+	c := &client{net: conn, opened: time.Now(), gone: make(chan struct{}), last: make(chan struct{}), behind: make(chan struct{}, mostBehind)}
 	close(c.last)
+	c.idleSince.Store(c.opened.UnixNano())
 	c.in = bufio.NewReaderSize(c, memcache.MostLine)
 	return c
 }
 
 // rests notes since when the connection stands idle, if it does.
 func (c *client) rests() {
-	if c.used.Load() && !c.within.Load() && len(c.behind) == 0 {
+	if !c.within.Load() && len(c.behind) == 0 {
 		c.idleSince.Store(time.Now().UnixNano())
 	}
 }
@@ -53,8 +59,8 @@
 // Read notes the time, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.net.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && time.Since(c.readAt) < commandWait {
-		c.net.SetReadDeadline(c.readAt.Add(commandWait))
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && time.Now().Before(c.due) {
+		c.net.SetReadDeadline(c.due)
 		n, err = c.net.Read(p)
 	}
 	if n > 0 {
@@ -63,12 +69,31 @@
 	return n, err
 }
 
+// awaits sets how long the next command may take to come.
+func (c *client) awaits(p Phase) {
+	until := c.opened.Add(firstWait)
+	if p >= Draining {
+		until = time.Now().Add(frontLags)
+	} else if c.used.Load() {
+		until = time.Now().Add(idleMost)
+		if at := c.idleSince.Load(); at != 0 {
+			until = time.Unix(0, at).Add(idleMost)
+		}
+	}
+	c.net.SetReadDeadline(until)
+}
+
+// over tells that the wait for the next command is over, not that an answer took long.
+func (c *client) over() bool {
+	at := c.idleSince.Load()
+	return c.outOfRoom.Load() || !c.used.Load() || at != 0 && time.Since(time.Unix(0, at)) >= idleMost
+}
+
 // serve reads the commands of one connection. Each API call lives in a goroutine of its own, so that this one
 // hears when the client goes away.
 func (b *Balancer) serve(c *client) {
 	defer b.clients.leave(c)
 	defer c.net.Close()
-	c.net.SetReadDeadline(time.Now().Add(firstWait))
 	for b.command(c) && b.in() == Serving {
 	}
 	<-c.last // what is in hand is answered first; the answers to a client that has gone are not waited for
@@ -77,11 +102,16 @@
 // command takes the next command; false where none can follow it.
 func (b *Balancer) command(c *client) bool {
 	c.within.Store(false)
-	c.rests()
+	c.awaits(b.in())
+	c.rests() // after that: who wakes a connection at rest must not be overruled
 	if b.in() >= Draining {
-		c.net.SetReadDeadline(time.Now().Add(frontLags))
+		c.awaits(Draining)
 	}
 	_, err := c.in.Peek(1)
+	for errors.Is(err, os.ErrDeadlineExceeded) && b.in() == Serving && !c.over() {
+		c.awaits(Serving)
+		_, err = c.in.Peek(1)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// Woken without a look at what has come: closing now would lose an API call that the machine has taken.
 		c.net.SetReadDeadline(time.Now().Add(lastLook))
@@ -91,10 +121,13 @@
 		return c.lost(err)
 	}
 	c.within.Store(true)
-	if !c.used.Swap(true) && b.in() == Serving {
-		c.net.SetReadDeadline(time.Time{})
+	c.due = time.Now().Add(commandWait)
+	if !c.used.Swap(true) {
+		c.due = c.opened.Add(firstWait)
 	}
+	c.net.SetReadDeadline(c.due)
 	c.idleSince.Store(0)
+	c.outOfRoom.Store(false)
 	line, err := c.in.ReadSlice('\n')
 	switch {
 	case err == bufio.ErrBufferFull:
@@ -142,6 +175,7 @@
 		return c.say(string(memcache.AppendRateLimited(nil, 0)))
 	}
 	started = true
+	c.proven.Store(true)
 	call.turn, call.answered = c.last, make(chan struct{})
 	c.last = call.answered
 	c.behind <- struct{}{}
