--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -34,7 +34,7 @@
 }
 
 var outcomeNames = [...]string{"fulfilled", "errored", "turned_away", "timed_out", "connect_failed", "reset",
-	"cancelled", "never_sent", "missed", "unknown"}
+	"cancelled", "never_sent", "missed", "spoilt", "unknown"}
 
 // report logs the tally; the differences of two lines are what happened between them.
 func (b *Balancer) report() {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -86,13 +86,21 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r = Result{Outcome: policy.TimedOut}
-	case err != nil:
+	case broken(err):
 		r = Result{Outcome: policy.Reset}
+	case err != nil:
+		r = Result{Outcome: policy.Spoilt}
 	}
 	s.end(r, true)
 	return keep && err == nil
 }
 
+// broken tells an end of the connection from an answer that cannot be read.
+func broken(err error) bool {
+	var fromNet net.Error
+	return errors.As(err, &fromNet) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // write tells whether the last byte of a shot was written, that is, whether it may run.
 func (c *conn) write(s *Shot) (whole bool) {
 	c.head = c.head[:0]
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -232,3 +232,26 @@
 	io.WriteString(<-conns, "EN O3\r\n")
 	ends(t, ended, policy.Missed)
 }
+
+// What comes and is no answer is told apart from a connection that breaks: hosts that only garble now and then
+// were taken for crowded ones.
+func TestSpoilt(t *testing.T) {
+	for answer, want := range map[string]policy.Outcome{
+		"":                         policy.Reset,
+		"VA 9 O1\r\nshort":         policy.Reset, // broke off
+		"EN O1":                    policy.Reset,
+		"noise\r\n":                policy.Spoilt,
+		"EN O1\n":                  policy.Spoilt,
+		"EN O2\r\n":                policy.Spoilt,
+		"VA 2 O1\r\nlonger\r\n":    policy.Spoilt,
+		"VA 3000000000 O1\r\nx":    policy.Spoilt,
+		strings.Repeat("x", 1<<16): policy.Spoilt,
+	} {
+		s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+		c := &conn{hosts: New(wide, -1), host: &host{}, net: &cut{room: 1 << 20}}
+		c.in = newReader(strings.NewReader(answer))
+		c.carry(s)
+		t.Logf("%.20q", answer)
+		ends(t, ended, want)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -567,6 +567,8 @@
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
+	// A spoilt answer came: its host works, and any may spoil one. Cutting limits for it turned calls away.
+	over := bad && e.Outcome != Spoilt
 	crowd := 2 * e.Took.seconds() / slo.seconds()
 	no := full || e.Outcome == Errored // an answer, but no
 	single := no && b.singledOut(c)
@@ -581,7 +583,7 @@
 		m.tell(now, good, no)
 	}
 	if h == b.origin {
-		b.adapt(h, slo, good, bad, full, crowd)
+		b.adapt(h, slo, good, over, full, crowd)
 		return
 	}
 	if e.Outcome == Fulfilled {
@@ -604,8 +606,8 @@
 		sum, n := h.delay.faded(now)
 		fleet, all := b.delay.faded(now)
 		// Where all are late, crowding feeds itself and each balancer sees little of it: the bar sinks for all.
-		b.adapt(h, slo, good, bad, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
-		if bad || full {
+		b.adapt(h, slo, good, over, full, sum/(n+4)/crowdedAt*max(1, math.Pow(fleet/(all+4)/fleetLate, 2)))
+		if over || full {
 			b.fleetBears = max(b.least(), b.fleetBears*0.9)
 		} else if good && float64(b.shotsOut+1) >= b.fleetBears*float64(len(b.byID))/2 {
 			b.fleetBears = min(mostOut, b.fleetBears*1.03)
@@ -617,7 +619,7 @@
 	if good {
 		b.done.add(now, 1, 0)
 	}
-	if bad && !c.above {
+	if over && !c.above {
 		b.pressed(c)
 	}
 }
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -56,6 +56,7 @@
 	outcome Outcome
 	took    Nanos
 	note    int
+	spoilt  int // every so many-th answer is
 }
 
 type debt struct {
@@ -173,7 +174,10 @@
 	d.shots = append(d.shots, shot{at: &cache{Entry: h.Entry}, sent: s.now, out: true})
 	r, ok := s.auto[to]
 	if o, off := s.off[d.in.Customer]; off && ok {
-		r = reply{o, Millisecond, 0}
+		r = reply{o, Millisecond, 0, 0}
+	}
+	if r.spoilt > 0 && len(h.sent)%r.spoilt == 0 {
+		r.outcome = Spoilt
 	}
 	if ok && r.took < timeout {
 		s.later(r.took, func() { s.end(id, n, r.outcome, r.took, r.note) })
@@ -260,7 +264,8 @@
 }
 
 var outcomeWords = map[string]Outcome{"fulfilled": Fulfilled, "errored": Errored, "full": TurnedAway, "timeout": TimedOut,
-	"unconnected": ConnectFailed, "reset": Reset, "cancelled": Cancelled, "moot": NeverSent, "miss": Missed, "unknown": Unknown}
+	"unconnected": ConnectFailed, "reset": Reset, "cancelled": Cancelled, "moot": NeverSent, "miss": Missed, "spoilt": Spoilt,
+	"unknown": Unknown}
 
 func (s *stage) play(words []string) {
 	w, o := parse(words)
@@ -317,7 +322,7 @@
 		s.moveTo(s.now + Nanos(o.num("ns", 0)) + o.ms("ms", 0))
 	case "answer":
 		for _, h := range strings.Split(w[1], ",") {
-			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0))}
+			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0)), int(o.num("spoilt", 0))}
 		}
 	case "call":
 		s.arrive(CallID(w[1]), o, w[2])
--- a/policy/types.go
+++ b/policy/types.go
@@ -44,6 +44,7 @@
 	Cancelled
 	NeverSent
 	Missed
+	Spoilt // something came that is no answer: it may have run
 	Unknown
 )
 
