Take no id twice while it is in hand, match commands and answers whole

Hosts know a shot by its id and can take one of the two for a repeat of the other. Read in the code beside it, each shown by a test before the change: doubled flags and names went on as they came, a host may take the other one; a deduplicated write without a mark was sent; `SERVER_ERROR busy` with noise behind it and `EN` with noise counted as proof that nothing ran, so a non-idempotent write would have been sent again; bare line feeds and any number of interim answers passed as HTTP.

Now ids in hand are held and a second one is answered CLIENT_ERROR; each of the above is an error line or a spoilt answer. The rows added to TestMalformed, TestOutcomesOfHosts, TestRead and the new TestIDInHand fail without it.

--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -83,6 +83,10 @@
 	}{
 		"receipt":            {hit, "HD Ow cdone-w"},
 		"error":              {say("SERVER_ERROR failed\r\n"), may},
+		"busy, and noise":    {say("SERVER_ERROR busy as can be\r\n"), may},
+		"busy, and a report": {say("SERVER_ERROR busy L=,=\r\n"), never},
+		"a miss with noise":  {func(g got) string { return "EN O" + g.id + " x7\r\n" }, may},
+		"two misses":         {func(g got) string { return "EN O" + g.id + " O" + g.id + "\r\n" }, may},
 		"turned away":        {say("SERVER_ERROR busy\r\n"), never},
 		"miss":               {miss, never},
 		"refused by command": {say("CLIENT_ERROR what\r\n"), may},
@@ -214,6 +218,13 @@
 		{"mg k v O1 Pc=read,d=99999999999999999999\r\n", "CLIENT_ERROR bad time to wait", true},
 		{"mg k v O1 Pd=9\r\n", "CLIENT_ERROR no product", true},
 		{"mg k v O1 Pc=none,d=9\r\n", "CLIENT_ERROR unknown product", true},
+		{"mg k v O1 O2 Pc=read,d=9\r\n", "CLIENT_ERROR given twice", true},
+		{"mg k v O1 Pc=read,d=9 Pc=pay\r\n", "CLIENT_ERROR given twice", true},
+		{"mg k v O1 Pc=read,d=9,d=900\r\n", "CLIENT_ERROR given twice", true},
+		{"mg k v O1 Pc=read,d=9,c=pay\r\n", "CLIENT_ERROR given twice", true},
+		{"ms k 5 O1 Pc=marked,d=900\r\nhello\r\n", "CLIENT_ERROR no mark against repeats", true},
+		{"ms k -5 O1 Pc=pay,d=900\r\n", "CLIENT_ERROR bad data chunk", false},
+		{"ms k 60000000 O1 Pc=pay,d=900\r\n" + strings.Repeat("v", 1<<20), "CLIENT_ERROR value too large", false},
 		{"mg k v O1 Pc=read,d=1\r\n", "SERVER_ERROR busy", true}, // no time is left for any shot
 		{"ms k 5 Pc=pay,d=9\r\nhello\r\n", "CLIENT_ERROR no id", true},
 		{"ms k five O1 Pc=pay,d=9\r\n", "CLIENT_ERROR bad data chunk", false},
@@ -235,6 +246,34 @@
 	}
 }
 
+// Two clients with one id: the second is told so and never reaches a host, which would take it for a repeat of the
+// first. Once the first is answered the id is free.
+func TestIDInHand(t *testing.T) {
+	release := make(chan struct{})
+	h := newHost(t, "h", func(g got) string {
+		if g.words[1] == "held" {
+			<-release
+		}
+		return hit(g)
+	})
+	p, _ := start(t, through, nil, h)
+	c, other := p.dial(t), p.dial(t)
+	c.send(put("pay", "held", "a", 3000))
+	await(t, h.came, "the shot")
+	expect(t, other.ask(get("k", "a", 900)), "CLIENT_ERROR id is in hand")
+	expect(t, other.ask(get("k", "b", 900)), "VA 10 Ob|value of k")
+	close(release)
+	expect(t, c.next(), "HD Oa cdone-a")
+	for began := time.Now(); other.ask(get("k", "a", 900)) != "VA 10 Oa|value of k"; {
+		if time.Since(began) > patience/2 {
+			t.Fatal("the id is never free again")
+		}
+	}
+	if n := h.count(); n != 3 {
+		t.Errorf("%d at the host", n)
+	}
+}
+
 // A client that goes away takes its shots with it: the host's work would serve nobody.
 func TestClientGone(t *testing.T) {
 	h := newHost(t, "h", say(""))
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -37,6 +37,7 @@
 	module *policy.Balancer
 	now    policy.Nanos // fixed for the thing that happens
 	calls  map[policy.CallID]*call
+	ids    map[string]struct{} // those that clients gave their API calls in hand
 	taken  uint64
 
 	clients    *clients
@@ -49,7 +50,7 @@
 func New(told *deployment.Deployment, log zerolog.Logger) *Balancer {
 	room := told.Sockets - ownSockets
 	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4),
-		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{},
+		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:      tally{hosts: map[policy.CacheID]*[2]int64{}},
 		clients:    newClients(room/2-room/16, room/2),
 		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/valuesPart/memcache.MostValue),
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -110,6 +110,7 @@
 func (b *Balancer) leave(c *call) {
 	b.mu.Lock()
 	delete(b.calls, c.id)
+	delete(b.ids, string(c.ID))
 	b.mu.Unlock()
 	b.open.Add(-1)
 	<-c.client.behind
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"streamrail/internal/memcache"
+	"streamrail/policy"
 )
 
 // client is one connection of a client; its goroutine runs serve.
@@ -168,6 +169,9 @@
 	if fault == nil {
 		fault = b.place(call)
 	}
+	if fault == nil && admitted && !b.claim(call) {
+		fault = memcache.IDInHand
+	}
 	switch {
 	case fault != nil:
 		return c.say(fault.Line())
@@ -192,9 +196,24 @@
 	if c.customer, known = b.told.Customers[string(c.Customer)]; !known && len(b.told.Customers) > 0 {
 		return memcache.UnknownCustomer
 	}
+	if c.Write && len(c.Mark) == 0 && b.told.Terms.Products[c.product].Effect == policy.Deduplicated {
+		return memcache.NoMark // a host could not tell its repeat
+	}
 	return nil
 }
 
+// claim takes the call's id; false where another API call in hand has it. Hosts know a shot by that id, and would
+// take one of two for the other's repeat.
+func (b *Balancer) claim(c *call) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, taken := b.ids[string(c.ID)]; taken {
+		return false
+	}
+	b.ids[string(c.ID)] = struct{}{}
+	return true
+}
+
 // readValue reads a write's value, or passes over it; whole tells that its line end stands where it should.
 func (c *call) readValue(keep bool) (whole bool, err error) {
 	in := c.client.in
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -27,7 +27,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	b := &Balancer{told: &deployment.Deployment{Products: map[string]policy.Product{"pay": 0}}, clients: newClients(1, 1)}
+	b := &Balancer{told: &deployment.Deployment{Products: map[string]policy.Product{"pay": 0},
+		Terms: policy.Terms{Products: make([]policy.ProductTerms, 1)}}, clients: newClients(1, 1)}
 	b.phase.Store(int32(Serving))
 	return b, newClient(conn), peer
 }
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -22,7 +22,10 @@
 	ErrTooLarge  = errors.New("response too large")
 )
 
-const mostFields = 100
+const (
+	mostFields  = 100
+	mostInterim = 8 // answers ahead of the final one
+)
 
 // The header fields that the origin reads and writes.
 const (
@@ -70,7 +73,7 @@
 
 // Read parses one response, with a body of at most so many bytes.
 func Read(in *bufio.Reader, most int) (r Response, err error) {
-	for {
+	for range mostInterim + 1 {
 		var chunked bool
 		length := -1
 		r, length, chunked, err = head(in)
@@ -100,6 +103,7 @@
 		}
 		return r, err
 	}
+	return r, ErrMalformed
 }
 
 // line reads one line without its end. The result is valid until the next read.
@@ -108,7 +112,10 @@
 	if err == bufio.ErrBufferFull {
 		return nil, ErrTooLarge
 	}
-	return bytes.TrimRight(s, "\r\n"), err
+	if err == nil && !bytes.HasSuffix(s, []byte("\r\n")) {
+		return nil, ErrMalformed
+	}
+	return bytes.TrimSuffix(s, []byte("\r\n")), err
 }
 
 func head(in *bufio.Reader) (r Response, length int, chunked bool, err error) {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -28,6 +28,9 @@
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1001\r\n", "", 200, ErrTooLarge},
 		{"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 200) + "\r\n", "", 200, ErrTooLarge},
 		{"SSH-2.0-x\r\n", "", 0, ErrMalformed},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\n\r\nmade", "", 200, ErrMalformed},
+		{strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade", "made", 200, nil},
+		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100), "", 102, ErrMalformed},
 	} {
 		r, err := Read(bufio.NewReader(strings.NewReader(row.in)), 4096)
 		if !errors.Is(err, row.err) || r.Status != row.status || err == nil && string(r.Body) != row.body {
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -23,6 +23,7 @@
 	Line              []byte // as it came, without its line end
 	Key, ID, Attrs    []byte
 	Product, Customer []byte
+	Mark              []byte        // against repeats
 	Left              time.Duration // that the client waits, from when it sent the command
 	Length            int           // of the value that follows the line of a write
 	Write, Noop       bool
@@ -43,10 +44,13 @@
 var (
 	Quit            = &Fault{Text: "quit"}
 	unknown         = &Fault{Text: "ERROR"}
+	twice           = bad("given twice", false)
 	TooLong         = bad("line too long", true)
 	BadChunk        = bad("bad data chunk", true)
 	UnknownProduct  = bad("unknown product", false)
 	UnknownCustomer = bad("unknown customer", false)
+	NoMark          = bad("no mark against repeats", false)
+	IDInHand        = bad("id is in hand", false)
 )
 
 func bad(text string, lost bool) *Fault { return &Fault{"CLIENT_ERROR " + text, lost} }
@@ -120,10 +124,12 @@
 		return c, bad("bad key", false)
 	}
 	for flag := range flags(rest) {
-		switch flag[0] {
-		case 'O':
+		switch {
+		case flag[0] == 'O' && c.ID != nil, flag[0] == 'P' && c.Attrs != nil:
+			return c, twice // a host may take the other one
+		case flag[0] == 'O':
 			c.ID = flag[1:]
-		case 'P':
+		case flag[0] == 'P':
 			c.Attrs = flag[1:]
 		}
 	}
@@ -135,7 +141,7 @@
 
 // attrs reads the list of names and values.
 func (c *Command) attrs() *Fault {
-	list := c.Attrs
+	list, again := c.Attrs, false
 	for len(list) > 0 {
 		pair := list
 		if i := bytes.IndexByte(list, ','); i >= 0 {
@@ -146,13 +152,19 @@
 		name, v, _ := bytes.Cut(pair, []byte("="))
 		switch string(name) {
 		case "c":
+			again = again || c.Product != nil
 			c.Product = v
 		case "t":
+			again = again || c.Customer != nil
 			c.Customer = v
+		case "k":
+			again = again || c.Mark != nil
+			c.Mark = v
 		case "r":
 			c.Repeat = string(v) == "1"
 		case "d":
 			n, ok := number(v)
+			again = again || c.Left != 0
 			if !ok || n == 0 {
 				return bad("bad time to wait", false)
 			}
@@ -162,6 +174,9 @@
 			c.left = [2]int{at, at + len(v)}
 		}
 	}
+	if again {
+		return twice
+	}
 	if c.Left == 0 {
 		return bad("no time to wait", false)
 	}
@@ -231,9 +246,17 @@
 	case "EN":
 		a.Reply = Miss
 	case "SERVER_ERROR":
-		a.Reply = Errored
-		if text, _ := word(rest); string(text) == "busy" {
+		// Only the very words prove anything: noise that begins like them may hide work that was done.
+		text, report := word(rest)
+		switch {
+		case len(report) > 0 && !isReport(report):
+			return a, errAnswer
+		case string(text) == "busy":
 			a.Reply = TurnedAway
+		case string(text) == "failed":
+			a.Reply = Errored
+		default:
+			return a, errAnswer
 		}
 		return a, nil
 	default:
@@ -241,7 +264,14 @@
 	}
 	for flag := range flags(rest) {
 		switch flag[0] {
+		default:
+			if a.Reply == Miss && !isReport(flag) {
+				return a, errAnswer // a miss proves that nothing ran
+			}
 		case 'O':
+			if a.ID != nil {
+				return a, errAnswer
+			}
 			a.ID = flag[1:]
 		case 'c':
 			a.Receipt = flag[1:]
@@ -257,6 +287,9 @@
 	return a, nil
 }
 
+// isReport tells a load report from other words; nothing is read of it, so that it may be spoilt.
+func isReport(s []byte) bool { return s[0] == 'L' }
+
 // AppendValue appends the line of a value; the value and a line end follow it.
 func AppendValue(to, id []byte, length int) []byte {
 	to = append(to, "VA "...)
--- a/internal/memcache/memcache_test.go
+++ b/internal/memcache/memcache_test.go
@@ -9,7 +9,8 @@
 // A line that was taken goes on as it came but for the time: one changed byte voids the work of a cache host.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{"mg 7f3a9c21e0b4d655 v O9b1f Pc=read,t=acme,d=480", "ms 7f3a 5 O9b1f Pc=put,t=acme,d=480,k=5c0f,r=1",
-		"mn", "mg", "ms k -1", "mg k v O Pd=", "mg  k  Pd=1,c=x,d=22 O1 Pc=y,d=3", "mg k O1 Pc=x,d=0007", "quit", "GET / HTTP/1.1"} {
+		"mn", "mg", "ms k -1", "mg k v O Pd=", "mg  k  Pd=1,c=x,d=22 O1 Pc=y,d=3", "mg k O1 Pc=x,d=0007", "quit", "GET / HTTP/1.1",
+		"frob 12", "mg k v O1 O2 Pc=x,d=3", "mg k v O1 Pc=x,d=3,d=4", "ms k ten O1 Pc=x,d=soon", "ms k 60000000 O1 Pc=x,d=3", "\x00\xff"} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, line []byte) {
@@ -38,7 +39,8 @@
 
 func FuzzParseAnswer(f *testing.F) {
 	for _, s := range []string{"VA 5 O9b1f h1 Linflight=7,queue=2,util=0.61", "HD O9b1f c77", "EN O9b1f h0 Z", "SERVER_ERROR busy",
-		"SERVER_ERROR failed", "VA 99999999 O1", "VA -1 O1", "CLIENT_ERROR x", "", "VA"} {
+		"SERVER_ERROR failed", "VA 99999999 O1", "VA -1 O1", "CLIENT_ERROR x", "", "VA",
+		"SERVER_ERROR busy L=,=", "SERVER_ERROR busy x", "EN O1 O1", "VA 3000000000 O1", "VA 5 O1 h1 L=,="} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, line []byte) {
