Let values of up to 1 MiB pass with their bytes bounded; reuse the connection at rest longest

Now a value may have 1 MiB, memcached's own bound, and the bytes of all values in hand have one: a quarter of the memory, taken before a value is held, given back when the API call is left. Before, the count of calls stood for it, at 64 KiB each (192 calls at 48 MB); now calls are bounded by their own cost.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"streamrail/internal/deployment"
-	"streamrail/internal/memcache"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
 )
@@ -43,6 +42,8 @@
 	clients    *clients
 	open       atomic.Int64 // API calls in hand
 	mostInHand int64
+	held       atomic.Int64 // bytes of values in hand
+	mostHeld   int64
 	tally      tally
 }
 
@@ -53,7 +54,8 @@
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:      tally{hosts: map[policy.CacheID]*[2]int64{}},
 		clients:    newClients(room/2-room/16, room/2),
-		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/valuesPart/memcache.MostValue),
+		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
+		mostHeld:   int64(told.MemoryMB) << 20 / part,
 		hosts: upstream.New(upstream.Limits{Open: room / 2, Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Idle: told.IdleLimit * 3 / 4, Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
 	b.running, b.end = context.WithCancel(context.Background())
@@ -63,8 +65,8 @@
 }
 
 const (
-	ownSockets = 16 // descriptors for the listener, discovery, logs and the runtime: seven, and some to spare
-	// A quarter of the memory may be values: an API call in hand holds one at the most, its own or the answer's.
-	valuesPart   = 4
-	mostToOrigin = 64 // the module starts with as many shots out there
+	ownSockets   = 16       // descriptors for the listener, discovery, logs and the runtime: seven, and some to spare
+	part         = 4        // of the memory for API calls in hand, and as much for their values
+	callBytes    = 32 << 10 // stacks and buffers of one with its two connections
+	mostToOrigin = 64       // the module starts with as many shots out there
 )
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"streamrail/internal/memcache"
@@ -23,6 +24,7 @@
 	turn     chan struct{} // closed when the commands before it are answered
 	answered chan struct{} // closed when this one is
 
+	held  atomic.Int64 // bytes of values
 	shots []*upstream.Shot
 	out   int
 	ended chan ending
@@ -112,6 +114,7 @@
 	delete(b.calls, c.id)
 	delete(b.ids, string(c.ID))
 	b.mu.Unlock()
+	b.held.Add(-c.held.Load())
 	b.open.Add(-1)
 	<-c.client.behind
 	c.client.rests()
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -151,9 +151,11 @@
 	}
 	call.Command = cmd
 	started, admitted := false, b.open.Add(1) <= b.mostInHand && b.clients.room()
+	admitted = admitted && (!cmd.Write || fault != nil || call.hold(cmd.Length))
 	defer func() {
 		if !started {
 			b.open.Add(-1)
+			b.held.Add(-call.held.Load())
 		}
 	}()
 	if cmd.Write {
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/shoot.go
@@ -10,6 +10,7 @@
 func (c *call) shoot(o order) {
 	n, sent := len(c.shots), time.Now()
 	s := &upstream.Shot{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time))}
+	s.Room = c.hold
 	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent)} }
 	c.shots = append(c.shots, s)
 	c.out++
@@ -18,3 +19,13 @@
 
 // recall gives a shot up.
 func (c *call) recall(o order) { c.shots[o.shot].GiveUp() }
+
+// hold takes memory for a value until the API call is left; false where there is no room for it.
+func (c *call) hold(bytes int) bool {
+	if c.b.held.Add(int64(bytes)) > c.b.mostHeld {
+		c.b.held.Add(-int64(bytes))
+		return false
+	}
+	c.held.Add(int64(bytes))
+	return true
+}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -71,8 +71,8 @@
 	return to
 }
 
-// Read parses one response, with a body of at most so many bytes.
-func Read(in *bufio.Reader, most int) (r Response, err error) {
+// Read parses one response, with a body of at most so many bytes. It asks for room for them before they are held.
+func Read(in *bufio.Reader, most int, room func(bytes int) bool) (r Response, err error) {
 	for range mostInterim + 1 {
 		var chunked bool
 		length := -1
@@ -88,8 +88,8 @@
 			return r, ErrMalformed
 		case r.Status == 204 || r.Status == 304:
 		case chunked:
-			r.Body, err = chunks(in, most)
-		case length > most:
+			r.Body, err = chunks(in, most, room)
+		case length > most || length > 0 && !room(length):
 			return r, ErrTooLarge
 		case length >= 0:
 			r.Body = make([]byte, length)
@@ -97,7 +97,7 @@
 		default: // up to the connection's end
 			r.Close = true
 			r.Body, err = io.ReadAll(io.LimitReader(in, int64(most)+1))
-			if len(r.Body) > most {
+			if len(r.Body) > most || !room(len(r.Body)) {
 				return r, ErrTooLarge
 			}
 		}
@@ -165,7 +165,7 @@
 	return r, length, chunked, ErrTooLarge
 }
 
-func chunks(in *bufio.Reader, most int) (body []byte, err error) {
+func chunks(in *bufio.Reader, most int, room func(int) bool) (body []byte, err error) {
 	for {
 		s, err := line(in)
 		if err != nil {
@@ -176,7 +176,7 @@
 		if err != nil {
 			return nil, ErrMalformed
 		}
-		if len(body)+int(n) > most {
+		if len(body)+int(n) > most || !room(int(n)) {
 			return nil, ErrTooLarge
 		}
 		if n == 0 {
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	MostLine  = 2048     // bytes of a command's or an answer's line; keys hold 250 at most
-	MostValue = 64 << 10 // bytes of a value
+	MostLine  = 2048    // bytes of a command's or an answer's line; keys hold 250 at most
+	MostValue = 1 << 20 // bytes of a value, as memcached has it unless told otherwise
 	mostKey   = 250
 )
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -130,7 +130,10 @@
 	return n == total
 }
 
-var errGarbage = errors.New("not an answer to this shot")
+var (
+	errGarbage = errors.New("not an answer to this shot")
+	errNoRoom  = errors.New("no memory for the value")
+)
 
 func (c *conn) read(s *Shot) (r Result, keep bool, err error) {
 	if c.host.isOrigin {
@@ -166,6 +169,9 @@
 		return r, false, errGarbage
 	}
 	if a.Reply == memcache.Value {
+		if !s.Room(a.Length + 2) {
+			return r, false, errNoRoom
+		}
 		r.Body = make([]byte, a.Length+2)
 		if _, err = io.ReadFull(c.in, r.Body); err != nil {
 			return r, false, err
@@ -179,7 +185,7 @@
 }
 
 func (c *conn) readOrigin(s *Shot) (r Result, keep bool, err error) {
-	resp, err := httpwire.Read(c.in, memcache.MostValue)
+	resp, err := httpwire.Read(c.in, memcache.MostValue, s.Room)
 	if err != nil {
 		return r, false, err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,7 @@
 	Command *memcache.Command
 	Value   []byte // of a write
 	Until   time.Time
+	Room    func(bytes int) bool // is asked before a value is held
 	Done    func(Result)
 
 	mu    sync.Mutex
@@ -157,7 +158,9 @@
 		s.end(Result{Outcome: policy.NeverSent}, false)
 		return
 	}
-	for _, c := range slices.Backward(hs.idle) { // the last used first
+	// The one at rest longest: a host that closes right after an answer has been heard by then, and a shot written
+	// into the close would be lost.
+	for _, c := range hs.idle {
 		if c.host == h {
 			hs.hand(c, s)
 			hs.mu.Unlock()
