--- a/policy/policy.go
+++ b/policy/policy.go
@@ -567,8 +567,14 @@
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
-	// A spoilt answer came: its host works, and any may spoil one. Cutting limits for it turned calls away.
-	over := bad && e.Outcome != Spoilt
+	// Answers come spoilt and connections break on any host, whatever its load: limits cut for it turned
+	// calls away.
+	over := bad && e.Outcome != Spoilt && e.Outcome != Reset
+	if lone := over && h.well >= loneAfter; good {
+		h.well++
+	} else if over {
+		h.well, over = 0, !lone
+	}
 	crowd := 2 * e.Took.seconds() / slo.seconds()
 	no := full || e.Outcome == Errored // an answer, but no
 	single := no && b.singledOut(c)
@@ -681,6 +687,10 @@
 	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
 }
 
+// loneAfter is how many good endings make a bad one a stray: connections fall silent on any host. Crowding and
+// hangs show more than one in 20 at once.
+const loneAfter = 20
+
 const (
 	firstOut  = 12               // all may have out at a host not yet known; 24 crowded small fleets
 	sparseOut = 40               // the same where that is below two each: 12 turned popular keys away
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -56,7 +56,8 @@
 	outcome Outcome
 	took    Nanos
 	note    int
-	spoilt  int // every so many-th answer is
+	stray   int // every so many-th shot ends as instead
+	as      Outcome
 }
 
 type debt struct {
@@ -174,10 +175,10 @@
 	d.shots = append(d.shots, shot{at: &cache{Entry: h.Entry}, sent: s.now, out: true})
 	r, ok := s.auto[to]
 	if o, off := s.off[d.in.Customer]; off && ok {
-		r = reply{o, Millisecond, 0, 0}
+		r = reply{outcome: o, took: Millisecond}
 	}
-	if r.spoilt > 0 && len(h.sent)%r.spoilt == 0 {
-		r.outcome = Spoilt
+	if r.stray > 0 && len(h.sent)%r.stray == 0 {
+		r.outcome = r.as
 	}
 	if ok && r.took < timeout {
 		s.later(r.took, func() { s.end(id, n, r.outcome, r.took, r.note) })
@@ -322,7 +323,8 @@
 		s.moveTo(s.now + Nanos(o.num("ns", 0)) + o.ms("ms", 0))
 	case "answer":
 		for _, h := range strings.Split(w[1], ",") {
-			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0)), int(o.num("spoilt", 0))}
+			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0)),
+				int(o.num("stray", 0)), outcomeWords[o["as"]]}
 		}
 	case "call":
 		s.arrive(CallID(w[1]), o, w[2])
--- a/policy/state.go
+++ b/policy/state.go
@@ -48,6 +48,7 @@
 	held                 float64 // API calls a core, as listed
 	limit                float64 // shots out that it is seen to bear
 	cutAt                Nanos
+	well                 int // good endings since the last bad one
 	rest, restUntil      Nanos
 	health               meter
 	budget               float64 // API calls that it may still get while cold
