--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -104,7 +104,7 @@
 }
 
 // endIdle wakes the readers of all connections: those between API calls close. One that has carried none yet
-// was opened for one that is on its way, and is given as long as the front lags.
+// was opened for one that is on its way, and is given a moment.
 func (cs *clients) endIdle() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -112,7 +112,7 @@
 		if c.used.Load() {
 			c.wake()
 		} else {
-			c.net.SetReadDeadline(time.Now().Add(frontLags))
+			c.net.SetReadDeadline(time.Now().Add(fresh))
 		}
 	}
 }
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -12,12 +12,13 @@
 const (
 	Starting Phase = iota // knows the list as it had it last and asks for the present one
 	Serving
+	Leaving  // goes on serving while its peers and the front take note
 	Draining // answers what comes and has come, closes connections between API calls
 	Stopped
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "stopped"}[p]
+	return [...]string{"starting", "serving", "leaving", "draining", "stopped"}[p]
 }
 
 func (b *Balancer) in() Phase { return Phase(b.phase.Load()) }
@@ -33,16 +34,21 @@
 }
 
 // Drain begins the ordered end.
-func (b *Balancer) Drain() { b.enter(Draining) }
+func (b *Balancer) Drain() { b.enter(Leaving) }
 
 // Stop ends at once; API calls in hand are lost.
 func (b *Balancer) Stop() { b.enter(Stopped) }
 
 const (
-	startWait = time.Second             // for the present list; the old one serves if it does not come
-	frontLags = 600 * time.Millisecond  // the front sends new connections for up to 0.4 s after the order to end
-	drainMost = 3400 * time.Millisecond // a longer client timeout than three seconds is not waited for
-	lastWords = 200 * time.Millisecond  // for the answers that are left then
+	startWait = time.Second            // for the present list; the old one serves if it does not come
+	frontLags = 600 * time.Millisecond // the front sends new connections for up to 0.4 s after the order to end
+	fresh     = 300 * time.Millisecond // for a connection that has carried nothing when the rest close
+	// Of the longest client timeout, of which three seconds at most are waited for: what is kept to end what is in
+	// hand, and what may go beyond it. The order to die comes 0.7 s after it at the soonest.
+	toEnd     = 500 * time.Millisecond
+	beyond    = 400 * time.Millisecond
+	longest   = 3 * time.Second
+	lastWords = 200 * time.Millisecond // for the answers that are left then
 )
 
 // Run takes the balancer through its phases and returns when it has stopped.
@@ -72,8 +78,12 @@
 			b.report()
 		}
 	}
+	end := time.After(min(b.told.ClientTimeout, longest) + beyond)
+	if b.in() == Leaving {
+		b.leaving()
+	}
 	if b.in() == Draining {
-		b.drain(listener)
+		b.drain(listener, end)
 	}
 	b.report()
 	b.enter(Stopped)
@@ -81,10 +91,29 @@
 	return nil
 }
 
-// drain lets the front notice, then waits for what is in hand.
-func (b *Balancer) drain(listener net.Listener) {
+// leaving serves on: clients use the connections they have for as long as these stay open, and a peer that
+// starts again at the same time may not be back yet. It ends early once nobody is connected.
+func (b *Balancer) leaving() {
+	end := time.After(max(frontLags, min(b.told.ClientTimeout, longest)-toEnd))
+	look := time.NewTicker(frontLags)
+	defer look.Stop()
+	for b.in() == Leaving {
+		select {
+		case <-end:
+			b.enter(Draining)
+		case <-look.C:
+			if b.clients.count() == 0 {
+				b.enter(Draining)
+			}
+		case <-b.changed:
+		}
+	}
+}
+
+// drain closes connections between API calls and waits for what is in hand.
+func (b *Balancer) drain(listener net.Listener, end <-chan time.Time) {
 	b.clients.endIdle()
-	front, end := time.After(frontLags), time.After(drainMost)
+	front := time.After(fresh)
 	for b.in() == Draining {
 		select {
 		case <-front:
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -74,7 +74,7 @@
 func (c *client) awaits(p Phase) {
 	until := c.opened.Add(firstWait)
 	if p >= Draining {
-		until = time.Now().Add(frontLags)
+		until = time.Now().Add(fresh)
 	} else if c.used.Load() {
 		until = time.Now().Add(idleMost)
 		if at := c.idleSince.Load(); at != 0 {
@@ -95,7 +95,7 @@
 func (b *Balancer) serve(c *client) {
 	defer b.clients.leave(c)
 	defer c.net.Close()
-	for b.command(c) && b.in() == Serving {
+	for b.command(c) && b.in() <= Leaving {
 	}
 	<-c.last // what is in hand is answered first; the answers to a client that has gone are not waited for
 }
@@ -109,7 +109,7 @@
 		c.awaits(Draining)
 	}
 	_, err := c.in.Peek(1)
-	for errors.Is(err, os.ErrDeadlineExceeded) && b.in() == Serving && !c.over() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && b.in() <= Leaving && !c.over() {
 		c.awaits(Serving)
 		_, err = c.in.Peek(1)
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -30,7 +30,8 @@
 	Kinds     map[string]policy.Kind
 
 	ConnectTimeout, IdleLimit, DrainGrace time.Duration
-	MostOpen                              int // API calls in hand
+	ClientTimeout                         time.Duration // the longest of all products
+	MostOpen                              int           // API calls in hand
 
 	settings any // as they stand in the file
 }
@@ -158,6 +159,9 @@
 	d.ConnectTimeout = time.Duration(r.num("caps.connectTimeoutNs", float64(250*time.Millisecond)))
 	d.IdleLimit = time.Duration(r.num("caps.keepaliveNs", float64(10*time.Second)))
 	d.DrainGrace = time.Duration(r.num("rules.drainGraceNs", float64(time.Second)))
+	for i := range d.Terms.Products {
+		d.ClientTimeout = max(d.ClientTimeout, time.Duration(r.num(fmt.Sprintf("products.%d.clientTimeoutNs", i), 3e9)))
+	}
 	d.MostOpen = int(r.num("caps.maxOpen", 1024))
 	return r.err
 }
