--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -121,14 +121,16 @@
 		if l.Whole && !named[id] {
 			hs.mark(h, policy.Gone, now)
 		}
-		if h.Condition == policy.Gone && h.open == 0 && now.Sub(h.told) > forgetAfter {
-			delete(hs.all, id)
-		}
+		hs.forget(id, h)
 	}
 }
 
-// forgetAfter keeps a host that is gone while anything could still be said of it.
-const forgetAfter = 10 * time.Minute
+// forget drops a host that is gone once no connection to it is left: others come under new ids all day.
+func (hs *Hosts) forget(id policy.CacheID, h *host) {
+	if h.Condition == policy.Gone && h.open == 0 && hs.all[id] == h {
+		delete(hs.all, id)
+	}
+}
 
 func (hs *Hosts) mark(h *host, condition policy.Condition, now time.Time) {
 	h.Condition = condition
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -282,3 +283,34 @@
 		t.Errorf("the longest rested got %q", buf[:n+m])
 	}
 }
+
+// Hosts come and go all day under new ids; what is gone leaves nothing behind once its connections have ended.
+func TestGoneForgotten(t *testing.T) {
+	hs, entry, conns := stand(t, wide)
+	s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Shoot(s)
+	c := <-conns
+	hs.Listed(discovery.List{Whole: true})
+	known := func() int {
+		hs.mu.Lock()
+		defer hs.mu.Unlock()
+		return len(hs.all)
+	}
+	if known() != 1 {
+		t.Error("forgotten with a shot out")
+	}
+	io.WriteString(c, "EN O1\r\n")
+	ends(t, ended, policy.Missed)
+	for began := time.Now(); known() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 10*time.Second {
+			t.Fatal("never forgotten")
+		}
+	}
+	for i := range 100 {
+		entry.Cache = policy.CacheID(fmt.Sprint(i))
+		hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
+	}
+	if known() != 1 {
+		t.Errorf("%d known of one", known())
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -132,6 +132,7 @@
 			}
 		}
 		h.lastEnded = now
+		b.forget(h)
 	}
 	if c == nil || e.Shot < 0 || e.Shot >= len(c.shots) || !c.shots[e.Shot].out {
 		return
@@ -437,11 +438,10 @@
 	least := b.threshold() / 2
 	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
-		if at := b.caches[u.copyAt]; at != nil {
-			home := b.ring.home(u.key)
-			if home != nil && (at.Condition != Up || b.profit(u, home, at) < least) {
-				u.copyAt = ""
-			}
+		if at := b.caches[u.copyAt]; at == nil || at.Condition != Up {
+			u.copyAt = ""
+		} else if home := b.ring.home(u.key); home != nil && b.profit(u, home, at) < least {
+			u.copyAt = ""
 		}
 		if reads, writes := u.sum(); reads+writes == 0 {
 			t.remove(i)
@@ -798,12 +798,11 @@
 		named[e.Cache] = true
 		changed = b.note(e) || changed
 	}
-	if kind != ListUpdate {
-		for id, h := range b.caches {
-			if !named[id] {
-				h.Condition = Gone
-			}
+	for id, h := range b.caches {
+		if kind != ListUpdate && !named[id] {
+			h.Condition = Gone
 		}
+		b.forget(h)
 	}
 	if changed {
 		b.rebuild()
@@ -814,6 +813,13 @@
 	}
 }
 
+// forget drops a host that is gone once nothing is out there: others come under new ids all day.
+func (b *Balancer) forget(h *cache) {
+	if h.Condition == Gone && h.out == 0 && h != b.origin {
+		delete(b.caches, h.Cache)
+	}
+}
+
 // followAgain tries again to follow the list: waits grow and are jittered, lest all balancers call together.
 func (b *Balancer) followAgain() {
 	if !b.terms.MustSubscribe || b.retrying {
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -359,6 +359,10 @@
 		if n := s.counts[w[1]]; n < least || n > most {
 			s.Errorf("%s: it was %d", s.where, n)
 		}
+	case "remembers": // remembers N: so many hosts
+		if n, _ := strconv.Atoi(w[1]); len(s.b.caches) != n {
+			s.Errorf("%s: it remembers %d", s.where, len(s.b.caches))
+		}
 	case "expect": // the next action; * stands for any word; "nothing": no action is left
 		got := []string{"nothing"}
 		if len(s.did) > 0 {
