--- a/policy/policy.go
+++ b/policy/policy.go
@@ -112,7 +112,7 @@
 	if far {
 		b.origin.out++
 	}
-	c.shots = append(c.shots, shot{at: to, sent: now, out: true, far: far})
+	c.shots = append(c.shots, shot{at: to, sent: now, out: true, far: far, well: to.well})
 	c.out++
 	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
 	if to != b.origin {
@@ -144,7 +144,7 @@
 		b.origin.out--
 	}
 	if h != nil {
-		b.learn(h, c, e, s.far)
+		b.learn(h, c, e, s)
 	}
 	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && !c.missed {
 		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
@@ -563,17 +563,17 @@
 }
 
 // learn takes a shot's outcome into the host's health and limit and the product's tempo.
-func (b *Balancer) learn(h *cache, c *call, e Ending, far bool) {
+func (b *Balancer) learn(h *cache, c *call, e Ending, s *shot) {
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
 	// Answers come spoilt and connections break on any host, whatever its load: limits cut for it turned
 	// calls away.
 	over := bad && e.Outcome != Spoilt && e.Outcome != Reset
-	if lone := over && h.well >= loneAfter; good {
+	if good {
 		h.well++
 	} else if over {
-		h.well, over = 0, !lone
+		over, h.badAt = h.well-min(s.well, h.badAt) < loneAfter, h.well
 	}
 	crowd := 2 * e.Took.seconds() / slo.seconds()
 	no := full || e.Outcome == Errored // an answer, but no
@@ -600,7 +600,7 @@
 	b.noted = b.noted || e.Note != 0
 	if single {
 		return
-	} else if far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored ||
+	} else if s.far && (e.Outcome == Fulfilled && (c.Write || e.Note != 1) || e.Outcome == Errored ||
 		full && (e.Note != 0 || !b.noted)) {
 		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, crowd)
 	} else {
@@ -687,9 +687,9 @@
 	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
 }
 
-// loneAfter is how many good endings make a bad one a stray: connections fall silent on any host. Crowding and
-// hangs show more than one in 20 at once.
-const loneAfter = 20
+// loneAfter is how many good endings, since the last bad one or since the shot was sent, make a failure a
+// stray: connections fall silent on any host, while crowding and hangs hold up most. 20 left limits low.
+const loneAfter = 10
 
 const (
 	firstOut  = 12               // all may have out at a host not yet known; 24 crowded small fleets
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -179,6 +179,7 @@
 	}
 	if r.stray > 0 && len(h.sent)%r.stray == 0 {
 		r.outcome = r.as
+		ok = r.as != TimedOut // nothing comes at all
 	}
 	if ok && r.took < timeout {
 		s.later(r.took, func() { s.end(id, n, r.outcome, r.took, r.note) })
--- a/policy/state.go
+++ b/policy/state.go
@@ -48,7 +48,7 @@
 	held                 float64 // API calls a core, as listed
 	limit                float64 // shots out that it is seen to bear
 	cutAt                Nanos
-	well                 int // good endings since the last bad one
+	well, badAt          int // good endings, and how many there were at the last bad one
 	rest, restUntil      Nanos
 	health               meter
 	budget               float64 // API calls that it may still get while cold
@@ -72,6 +72,7 @@
 	sent Nanos
 	out  bool
 	ran  bool // may have run
+	well int  // good endings there when it was sent
 	far  bool // where caches fetch: a write or a likely miss, which goes on to the origin
 }
 
