--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,11 +20,11 @@
 		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
-		tempos: make([]meter, len(terms.Products)), origin: &cache{limit: mostOut / 4},
+		tempos: make([]meter, 2*len(terms.Products)), origin: &cache{limit: mostOut / 4},
 		fleetBears: sparseOut / float64(terms.Balancers)}
 	for i, p := range terms.Products {
 		b.topValue = max(b.topValue, p.BilledValue)
-		b.tempos[i].width = calmSlot
+		b.tempos[2*i].width, b.tempos[2*i+1].width = calmSlot, calmSlot
 	}
 	if terms.MustSubscribe {
 		host.Subscribe()
@@ -537,9 +537,13 @@
 	calmLeast = 24         // endings that a slot needs: work differs by a factor of several
 )
 
-// delayOf is the part of its SLO that a shot took beyond its product's calmest slot lately.
-func (b *Balancer) delayOf(c *call, took Nanos) float64 {
-	m := &b.tempos[c.Product]
+// delayOf is the part of its SLO that a shot took beyond its product's calmest slot lately, at caches as near
+// as its own: the way to another zone is no crowding.
+func (b *Balancer) delayOf(h *cache, c *call, took Nanos) float64 {
+	m := &b.tempos[2*c.Product]
+	if h.Zone != b.terms.Zone {
+		m = &b.tempos[2*c.Product+1]
+	}
 	m.add(b.host.Now(), took.seconds(), 1)
 	calm, ok := m.leastMean(b.host.Now(), calmLeast)
 	if !ok {
@@ -605,7 +609,7 @@
 		b.adapt(b.origin, slo, e.Outcome == Fulfilled, e.Outcome == Errored, full, crowd)
 	} else {
 		if e.Outcome == Fulfilled {
-			late := b.delayOf(c, e.Took)
+			late := b.delayOf(h, c, e.Took)
 			h.delay.add(now, late, 1)
 			b.delay.add(now, late, 1)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,7 +23,7 @@
 	calls              map[CallID]*call
 	table              keyTable
 	allowances         []allowance
-	tempos             []meter // by product: seconds that shots at caches took, and how many
+	tempos             []meter // by product, in the zone and across: seconds that shots at caches took, and how many
 	topValue, squeeze  float64
 	pace               meter           // the same of all products
 	all, done, further meter           // shots at caches, those that were good, further shots
