--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -542,7 +542,12 @@
 	c := p.dial(t)
 	expect(t, c.ask(get("k", "more", 20000)), "SERVER_ERROR busy")
 	all[0].Close()
-	for _, c := range all[1:] {
+	for began := time.Now(); all[1].ask(get("k", "again", 900)) != "VA 10 Oagain|value of k"; time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > patience/2 { // it takes a moment to be heard
+			t.Fatal("one that has left makes no room")
+		}
+	}
+	for _, c := range all[2:] {
 		expect(t, c.ask(get("k", "again", 900)), "VA 10 Oagain|value of k")
 	}
 	p.dial(t) // again one too many
@@ -554,7 +559,7 @@
 }
 
 // Clients that say nothing, half a command, or ask once and stay: each is closed in time, or they hold all
-// descriptors and the usual clients find none.
+// descriptors, the balancer's or the clients' own, and the usual clients find none.
 func TestIdleClients(t *testing.T) {
 	p, _ := start(t, nil, nil, newHost(t, "h", hit))
 	for name, row := range map[string]struct {
@@ -564,7 +569,7 @@
 		"nothing":        {"", 2 * time.Second, 3 * time.Second},
 		"half a command": {"mg k v Ohalf", 0, 3 * time.Second},
 		"half a value":   {"ms k 5 Ohalf Pc=pay,d=900\r\nhel", 0, 3 * time.Second},
-		"one command":    {get("k", "a", 900), 2 * time.Second, 6 * time.Second},
+		"one command":    {get("k", "a", 900), 2 * time.Second, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -23,7 +23,7 @@
 	due       time.Time     // when the command that has begun must be whole
 	within    atomic.Bool   // a command has begun to come
 	used      atomic.Bool   // it has carried a command
-	proven    atomic.Bool   // it has carried an API call
+	proven    atomic.Bool   // it has carried an API call, if only one that was turned away
 	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
 	outOfRoom atomic.Bool   // it makes room for others
 	gone      chan struct{} // closed when the client has gone away
@@ -34,9 +34,11 @@
 const (
 	commandWait = 2500 * time.Millisecond // for the whole of a command
 	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
-	idleMost    = 5 * time.Second         // between commands: some clients ask once and never close
-	lastLook    = time.Millisecond
-	mostBehind  = 32 // API calls of one connection in hand
+	// Between commands: some clients ask once and never close. Clients too may hold only so many connections, and
+	// those that stand idle keep them from opening one that they need.
+	idleMost   = idleLeast + 50*time.Millisecond
+	lastLook   = time.Millisecond
+	mostBehind = 32 // API calls of one connection in hand
 )
 
 func newClient(conn net.Conn) *client {
@@ -174,6 +176,9 @@
 	if fault == nil && admitted && !b.claim(call) {
 		fault = memcache.IDInHand
 	}
+	if fault == nil {
+		c.proven.Store(true)
+	}
 	switch {
 	case fault != nil:
 		return c.say(fault.Line())
@@ -181,7 +186,6 @@
 		return c.say(string(memcache.AppendRateLimited(nil, 0)))
 	}
 	started = true
-	c.proven.Store(true)
 	call.turn, call.answered = c.last, make(chan struct{})
 	c.last = call.answered
 	c.behind <- struct{}{}
