Compute the wait for a command in one place; drop an unused receiver, an id twice told, a dead host in a test

Read again, no change of behaviour. client.until now says when the next command is due, for the read deadline and for over, which each worked it out. The fault of a command is tested once before it counts as sound. deployment.Again read nothing of its receiver; upstream's forget was given an id that its host carries. TestDrain held a cache host that its write never reaches, since writes go to the origin there; its assertions are as they were. Tests with the race detector pass.

--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -385,16 +385,10 @@
 // sends, for a peer may be away at the same time; then they close and what is in hand is answered, in order.
 func TestDrain(t *testing.T) {
 	release := make(chan struct{})
-	h := newHost(t, "h", func(g got) string {
-		if g.id == "held" {
-			<-release
-		}
-		return hit(g)
-	})
 	p, _ := start(t, nil, newOrigin(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		io.WriteString(w, "made")
-	}), h)
+	}), newHost(t, "h", hit))
 	idle, busy := p.dial(t), p.dial(t)
 	expect(t, idle.ask("mn\r\n"), "MN")
 	busy.send(put("pay", "k", "held", 3000))
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -72,25 +72,25 @@
 	return n, err
 }
 
-// awaits sets how long the next command may take to come.
-func (c *client) awaits(p Phase) {
-	until := c.opened.Add(firstWait)
-	if p >= Draining {
-		until = time.Now().Add(fresh)
-	} else if c.used.Load() {
-		until = time.Now().Add(idleMost)
-		if at := c.idleSince.Load(); at != 0 {
-			until = time.Unix(0, at).Add(idleMost)
-		}
+// until tells when the next command must have begun to come; while an answer is due that moves on.
+func (c *client) until(p Phase) time.Time {
+	at := c.idleSince.Load()
+	switch {
+	case p >= Draining:
+		return time.Now().Add(fresh)
+	case !c.used.Load():
+		return c.opened.Add(firstWait)
+	case at == 0:
+		return time.Now().Add(idleMost)
 	}
-	c.net.SetReadDeadline(until)
+	return time.Unix(0, at).Add(idleMost)
 }
 
+// awaits sets how long the next command may take to come.
+func (c *client) awaits(p Phase) { c.net.SetReadDeadline(c.until(p)) }
+
 // over tells that the wait for the next command is over, not that an answer took long.
-func (c *client) over() bool {
-	at := c.idleSince.Load()
-	return c.outOfRoom.Load() || !c.used.Load() || at != 0 && time.Since(time.Unix(0, at)) >= idleMost
-}
+func (c *client) over() bool { return c.outOfRoom.Load() || !time.Now().Before(c.until(Serving)) }
 
 // serve reads the commands of one connection. Each API call lives in a goroutine of its own, so that this one
 // hears when the client goes away.
@@ -176,13 +176,11 @@
 	if fault == nil && admitted && !b.claim(call) {
 		fault = memcache.IDInHand
 	}
-	if fault == nil {
-		c.proven.Store(true)
-	}
-	switch {
-	case fault != nil:
+	if fault != nil {
 		return c.say(fault.Line())
-	case !admitted:
+	}
+	c.proven.Store(true)
+	if !admitted {
 		return c.say(string(memcache.AppendRateLimited(nil, 0)))
 	}
 	started = true
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -43,7 +43,7 @@
 
 // Again reads the file once more, while the balancer runs. What it says now wins over the variables, which are
 // as old as the process.
-func (d *Deployment) Again(getenv func(string) string) (*Deployment, error) {
+func Again(getenv func(string) string) (*Deployment, error) {
 	return read(getenv, true)
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,7 +34,7 @@
 	c.hosts.mu.Lock()
 	c.hosts.open--
 	c.host.open--
-	c.hosts.forget(c.host.Cache, c.host)
+	c.hosts.forget(c.host)
 	c.hosts.mu.Unlock()
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -121,14 +121,14 @@
 		if l.Whole && !named[id] {
 			hs.mark(h, policy.Gone, now)
 		}
-		hs.forget(id, h)
+		hs.forget(h)
 	}
 }
 
 // forget drops a host that is gone once no connection to it is left: others come under new ids all day.
-func (hs *Hosts) forget(id policy.CacheID, h *host) {
-	if h.Condition == policy.Gone && h.open == 0 && hs.all[id] == h {
-		delete(hs.all, id)
+func (hs *Hosts) forget(h *host) {
+	if h.Condition == policy.Gone && h.open == 0 && hs.all[h.Cache] == h {
+		delete(hs.all, h.Cache)
 	}
 }
 
