Add the rehearsal kit's models and scenario files: nodes, gateway, register, callers

This is the ground of a kit that can: pure models (no clock, no I/O, seeds come in) of a cache node with cores, queue, pauses, kept values, warming and falling over; of the gateway with its capacity, stops and ledger; of the register that tells late; and of the callers. The scenario package reads TOML files strictly and names each fault in one with file, line and key; ten rehearsals are built in.

--- /dev/null
+++ b/internal/rehearsal/scenario/read.go
@@ -0,0 +1,505 @@
+package scenario
+
+import (
+	"bytes"
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"streamrail/internal/rehearsal/model"
+)
+
+//go:embed library/*.toml
+var library embed.FS
+
+// Names are the built-in rehearsals.
+func Names() (names []string) {
+	files, _ := fs.Glob(library, "library/*.toml")
+	for _, f := range files {
+		names = append(names, strings.TrimSuffix(path.Base(f), ".toml"))
+	}
+	return names
+}
+
+// Open reads a built-in rehearsal by its name, or a file.
+func Open(nameOrFile string) (*Day, error) {
+	if slices.Contains(Names(), nameOrFile) {
+		text, err := library.ReadFile("library/" + nameOrFile + ".toml")
+		if err != nil {
+			return nil, err
+		}
+		return Parse(nameOrFile+".toml", text)
+	}
+	text, err := os.ReadFile(nameOrFile)
+	if errors.Is(err, fs.ErrNotExist) && !strings.ContainsAny(nameOrFile, "./") {
+		return nil, fmt.Errorf("%w: no rehearsal is called %q; the built-in ones are %s", ErrFaulty, nameOrFile, strings.Join(Names(), ", "))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Parse(nameOrFile, text)
+}
+
+// Parse reads and checks a file's text. Its error names every fault that was found, a line each.
+func Parse(file string, text []byte) (*Day, error) {
+	d := defaults()
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	c := &checker{file: file, lines: lines(text), day: &d}
+	if err := dec.Decode(&d); err != nil {
+		var unknown *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &unknown):
+			for _, e := range unknown.Errors {
+				line, _ := e.Position()
+				c.at(line, strings.Join(e.Key(), "."), "unknown key")
+			}
+		case errors.As(err, &wrong):
+			line, _ := wrong.Position()
+			key := strings.Join(wrong.Key(), ".")
+			if key == "" {
+				key = c.keyAt(line)
+			}
+			c.at(line, key, strings.TrimPrefix(wrong.Error(), "toml: "))
+		default:
+			c.at(0, "", err.Error())
+		}
+		return nil, c.err()
+	}
+	has := func(list string, i int) given {
+		return func(key string) bool { _, ok := c.lines[fmt.Sprintf("%s[%d].%s", list, i+1, key)]; return ok }
+	}
+	if len(d.Nodes) == 0 {
+		d.Nodes = []Node{{Name: "node", Count: 4}}
+	}
+	for i := range d.Nodes {
+		d.Nodes[i].settle(has("node", i))
+	}
+	if len(d.Products) == 0 {
+		d.Products = usualProducts()
+	}
+	for i := range d.Products {
+		d.Products[i].settle(has("product", i))
+	}
+	if len(d.Tenants) == 0 {
+		d.Tenants = []Tenant{{Name: "shops", Share: 1}}
+	}
+	for i := range d.Tenants {
+		or(has("tenant", i), "usage", &d.Tenants[i].Usage, 1)
+	}
+	for i := range d.Faults {
+		d.Faults[i].settle(has("fault", i))
+	}
+	c.check()
+	return &d, c.err()
+}
+
+// usualProducts are those of a file that names none: reads, and writes of both kinds.
+func usualProducts() []Product {
+	ms := func(n int) Span { return Span(time.Duration(n) * time.Millisecond) }
+	return []Product{
+		{Name: "balance", Share: 0.56, Work: ms(12), LatencySLO: ms(500), ClientTimeout: ms(1200)},
+		{Name: "offers", Share: 0.39, Work: ms(18), LatencySLO: ms(800), ClientTimeout: ms(2500)},
+		{Name: "credit", Share: 0.03, Work: ms(20), LatencySLO: ms(1200), ClientTimeout: ms(3000), Effect: NonIdempotent, Write: true},
+		{Name: "credit-once", Share: 0.02, Work: ms(20), LatencySLO: ms(1200), ClientTimeout: ms(3000), Effect: Deduplicated,
+			Window: ms(2000), Write: true},
+	}
+}
+
+// lines tells on which line each key of a file stands. Entries of lists of tables are counted from 1.
+func lines(text []byte) map[string]int {
+	at := map[string]int{}
+	count := map[string]int{}
+	p := unstable.Parser{}
+	p.Reset(text)
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			k := it.Node()
+			parts = append(parts, string(k.Data))
+			line = 1 + bytes.Count(text[:k.Raw.Offset], []byte("\n"))
+		}
+		key := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = key
+		case unstable.ArrayTable:
+			count[key]++
+			prefix = key + "[" + strconv.Itoa(count[key]) + "]"
+			key = prefix
+		case unstable.KeyValue:
+			if prefix != "" {
+				key = prefix + "." + key
+			}
+		}
+		if _, ok := at[key]; !ok {
+			at[key] = line
+		}
+	}
+	return at
+}
+
+type checker struct {
+	file   string
+	lines  map[string]int
+	day    *Day
+	faults []string
+}
+
+func (c *checker) at(line int, key, what string) {
+	where := c.file
+	if line > 0 {
+		where += ":" + strconv.Itoa(line)
+	}
+	if key != "" {
+		where += ": " + key
+	}
+	c.faults = append(c.faults, where+": "+what)
+}
+
+// keyAt is the key that stands on a line.
+func (c *checker) keyAt(line int) (key string) {
+	for k, l := range c.lines {
+		if l == line && len(k) > len(key) {
+			key = k
+		}
+	}
+	return key
+}
+
+// bad names a fault of a key, on its own line or that of the table it is missing in.
+func (c *checker) bad(key, form string, args ...any) {
+	line, ok := c.lines[key]
+	for up := key; !ok && up != ""; {
+		up = up[:max(0, strings.LastIndexByte(up, '.'))]
+		line, ok = c.lines[up]
+	}
+	c.at(line, key, fmt.Sprintf(form, args...))
+}
+
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w\n%s", ErrFaulty, strings.Join(c.faults, "\n"))
+}
+
+// within holds a figure to a range.
+func within[T int | float64 | Span](c *checker, key string, v, least, most T) {
+	if v < least || v > most {
+		c.bad(key, "expected %v to %v, got %v", least, most, v)
+	}
+}
+
+const (
+	mostNodes     = 200 // each has a listener for each balancer
+	mostBalancers = 16
+	mostLength    = Span(time.Hour)
+	longest       = Span(time.Minute) // that any single thing takes
+)
+
+func (c *checker) check() {
+	d := c.day
+	within(c, "length", d.Length, Span(time.Second), mostLength)
+	within(c, "fleet.balancers", d.Fleet.Balancers, 1, mostBalancers)
+	within(c, "fleet.same", d.Fleet.Same, 0, Span(time.Second))
+	within(c, "fleet.cross", d.Fleet.Cross, 0, Span(time.Second))
+	within(c, "fleet.memory_mb", d.Fleet.MemoryMB, 16, 1<<16)
+	within(c, "fleet.sockets", d.Fleet.Sockets, 64, 1<<16)
+	within(c, "fleet.shots", d.Fleet.Shots, 1, 16)
+	if d.Fleet.Mode != Aside && d.Fleet.Mode != Through {
+		c.bad("fleet.mode", "expected aside or through, got %q", d.Fleet.Mode)
+	}
+	if len(d.Fleet.Zones) == 0 {
+		c.bad("fleet.zones", "expected at least one")
+	}
+	zones := unique(c, "fleet.zones", d.Fleet.Zones)
+	c.nodes(zones)
+	c.gateway()
+	c.load()
+	c.products()
+	tenants := c.tenants()
+	within(c, "rules.drain_grace", d.Rules.DrainGrace, Span(100*time.Millisecond), longest)
+	within(c, "rules.fall_multiple", d.Rules.FallMultiple, 0, 100)
+	within(c, "rules.fall_for", d.Rules.FallFor, Span(100*time.Millisecond), longest)
+	within(c, "rules.slack", d.Rules.Slack, 0, Span(time.Second))
+	within(c, "rules.prompt", d.Rules.Prompt, Span(20*time.Millisecond), Span(10*time.Second))
+	within(c, "rules.cold_blame", d.Rules.ColdBlame, 0.01, 1)
+	ids, _ := d.NodeIDs()
+	for i := range d.Faults {
+		c.fault(i, ids, zones, tenants)
+	}
+}
+
+// unique names what stands twice in a list.
+func unique(c *checker, key string, names []string) map[string]bool {
+	seen := map[string]bool{}
+	for _, n := range names {
+		if n == "" || strings.ContainsAny(n, " ,=\r\n\t") {
+			c.bad(key, "expected a name without blanks, commas or =, got %q", n)
+		}
+		if seen[n] {
+			c.bad(key, "%q stands twice", n)
+		}
+		seen[n] = true
+	}
+	return seen
+}
+
+func (c *checker) nodes(zones map[string]bool) {
+	d, n := c.day, 0
+	names := map[string]bool{}
+	for i := range d.Nodes {
+		g, at := &d.Nodes[i], fmt.Sprintf("node[%d].", i+1)
+		if g.Name == "" || strings.ContainsAny(g.Name, " ,=*") || names[g.Name] {
+			c.bad(at+"name", "expected a name of its own without blanks, got %q", g.Name)
+		}
+		names[g.Name] = true
+		if g.Zone == "" && len(d.Fleet.Zones) > 0 {
+			g.Zone = d.Fleet.Zones[0]
+		}
+		if !zones[g.Zone] {
+			c.bad(at+"zone", "no zone is called %q", g.Zone)
+		}
+		within(c, at+"count", g.Count, 1, mostNodes)
+		within(c, at+"cores", g.Cores, 1, 1024)
+		within(c, at+"speed", g.Speed, 0.01, 100)
+		within(c, at+"queue", g.Queue, 0, 1<<20)
+		within(c, at+"keep_mb", g.KeepMB, 0.001, 4096)
+		within(c, at+"connections", g.Connections, 1, 1<<16)
+		within(c, at+"connect_work", g.ConnectWork, 0, Span(time.Second))
+		within(c, at+"probe_work", g.ProbeWork, 0, Span(time.Second))
+		within(c, at+"idle", g.Idle, Span(100*time.Millisecond), mostLength)
+		within(c, at+"cold_from", g.ColdFrom, 0.01, 1)
+		within(c, at+"warm_for", g.WarmFor, 0, mostLength)
+		if g.PauseEvery > 0 {
+			within(c, at+"pause_every", g.PauseEvery, Span(100*time.Millisecond), mostLength)
+			within(c, at+"pause_for", g.PauseFor, Span(time.Millisecond), g.PauseEvery)
+		}
+		n += g.Count
+	}
+	if n > mostNodes {
+		c.bad("node", "expected at most %d nodes, got %d", mostNodes, n)
+	}
+}
+
+func (c *checker) gateway() {
+	g := c.day.Gateway
+	within(c, "gateway.slots", g.Slots, 1, 1<<16)
+	within(c, "gateway.time", g.Time, Span(time.Millisecond), longest)
+	within(c, "gateway.queue", g.Queue, 0, 1<<16)
+	within(c, "gateway.fall_multiple", g.FallMultiple, 0, 100)
+	within(c, "gateway.fall_for", g.FallFor, Span(100*time.Millisecond), longest)
+	within(c, "gateway.stop_for", g.StopFor, Span(100*time.Millisecond), longest)
+	late := c.day.Register.Late
+	within(c, "register.late", late[0], 0, late[1])
+	within(c, "register.late", late[1], 0, longest)
+}
+
+func (c *checker) load() {
+	d := c.day
+	within(c, "load.per_s", d.Load.PerS, 0.1, 1e6)
+	within(c, "load.swing", d.Load.Swing, 0, 0.95)
+	if d.Load.Swing > 0 {
+		within(c, "load.swing_for", d.Load.SwingFor, Span(time.Second), mostLength)
+	}
+	within(c, "load.keys", d.Load.Keys, 1, 1<<22)
+	within(c, "load.zipf", d.Load.Zipf, 0, 4)
+	within(c, "load.value_size", d.Load.ValueSize, 64, 1<<20) // the key, the version and the id go into a value
+	within(c, "load.quota", d.Load.Quota, 0.01, 10)
+	within(c, "load.warm", d.Load.Warm, 0, 1)
+	if n := d.Load.PerS * d.Length.D().Seconds(); n > model.MostArrivals/4 {
+		c.bad("load.per_s", "%.0f API calls in %v are more than the kit plans (%d)", n, d.Length, model.MostArrivals/4)
+	}
+	within(c, "client.tries", d.Clients.Tries, 0, 10)
+	within(c, "client.wait", d.Clients.Wait, Span(time.Millisecond), longest)
+	within(c, "client.honour", d.Clients.Honour, 0, 1)
+	within(c, "client.come_back", d.Clients.ComeBack, 0, longest)
+	within(c, "client.notice", d.Clients.Notice, 0, longest)
+	g := d.Clients.GiveUpAt
+	within(c, "client.give_up_at", g[0], 0.05, g[1])
+	within(c, "client.give_up_at", g[1], 0.05, 1)
+	if n := len(d.Clients.ZoneParts); n != 0 && n != len(d.Fleet.Zones) {
+		c.bad("client.zone_parts", "expected a part for each of the %d zones, got %d", len(d.Fleet.Zones), n)
+	}
+}
+
+func (c *checker) products() {
+	names := map[string]bool{}
+	for i, p := range c.day.Products {
+		at := fmt.Sprintf("product[%d].", i+1)
+		if p.Name == "" || strings.ContainsAny(p.Name, " ,=") || names[p.Name] {
+			c.bad(at+"name", "expected a name of its own without blanks, got %q", p.Name)
+		}
+		names[p.Name] = true
+		within(c, at+"share", p.Share, 0.0001, 1e6)
+		within(c, at+"work", p.Work, Span(time.Microsecond), longest)
+		within(c, at+"variation", p.Variation, 0.01, 10)
+		within(c, at+"latency_slo", p.LatencySLO, Span(time.Millisecond), longest)
+		if p.ClientTimeout < p.LatencySLO || p.ClientTimeout > longest {
+			c.bad(at+"client_timeout", "expected the latency SLO (%v) to %v, got %v", p.LatencySLO, longest, p.ClientTimeout)
+		}
+		within(c, at+"billed_value", p.BilledValue, 0.0001, 1e9)
+		if p.Law != model.Exponential && p.Law != model.LogNormal && p.Law != model.Constant {
+			c.bad(at+"law", "expected exponential, lognormal or constant, got %q", p.Law)
+		}
+		switch p.Effect {
+		case Idempotent, NonIdempotent:
+			if p.Window != 0 {
+				c.bad(at+"window", "only a deduplicated product has one")
+			}
+		case Deduplicated:
+			within(c, at+"window", p.Window, Span(100*time.Millisecond), longest)
+		default:
+			c.bad(at+"effect", "expected idempotent, deduplicated or non-idempotent, got %q", p.Effect)
+		}
+		if p.Effect != Idempotent && !p.Write {
+			c.bad(at+"write", "a product that may not run again is a write")
+		}
+	}
+}
+
+func (c *checker) tenants() map[string]bool {
+	names := map[string]bool{}
+	for i, t := range c.day.Tenants {
+		at := fmt.Sprintf("tenant[%d].", i+1)
+		if t.Name == "" || strings.ContainsAny(t.Name, " ,=") || names[t.Name] {
+			c.bad(at+"name", "expected a name of its own without blanks, got %q", t.Name)
+		}
+		names[t.Name] = true
+		within(c, at+"share", t.Share, 0.0001, 1)
+		within(c, at+"usage", t.Usage, 0.0001, 100)
+	}
+	return names
+}
+
+func (c *checker) fault(i int, ids []string, zones, tenants map[string]bool) {
+	f, at := &c.day.Faults[i], fmt.Sprintf("fault[%d].", i+1)
+	k, ok := kinds[f.Do]
+	if !ok {
+		c.bad(at+"do", "expected one of %s, got %q", strings.Join(Kinds(), ", "), f.Do)
+		return
+	}
+	for _, key := range []string{"for", "nodes", "part", "by", "delay", "zone", "balancers", "tenant", "keys", "at_once", "drain",
+		"same_address", "count"} {
+		_, given := c.lines[at+key]
+		switch {
+		case slices.Contains(k.needs, key) && !given:
+			c.bad(at+key, "%s needs it", f.Do)
+		case given && !slices.Contains(k.needs, key) && !slices.Contains(k.may, key):
+			c.bad(at+key, "%s has no such key", f.Do)
+		}
+	}
+	within(c, at+"at", f.At, 0, c.day.Length)
+	if f.For < 0 || f.At+f.For > c.day.Length {
+		c.bad(at+"for", "the fault would end at %v, after the day (%v)", f.At+f.For, c.day.Length)
+	}
+	if _, given := c.lines[at+"part"]; given {
+		within(c, at+"part", f.Part, 0.001, 1)
+	}
+	if slices.Contains(k.needs, "by") {
+		within(c, at+"by", f.By, 0.01, 1000)
+	}
+	if f.Do == "hot" {
+		within(c, at+"keys", f.Keys, 1, 1000)
+	}
+	if f.Do == "link-delay" {
+		within(c, at+"delay", f.Delay, Span(time.Millisecond), longest)
+	}
+	if f.Do == "rude" {
+		within(c, at+"count", f.Count, 1, 500)
+	}
+	if f.Do == "deploy" {
+		within(c, at+"at_once", f.AtOnce, 1, max(1, len(ids)))
+		within(c, at+"drain", f.Drain, Span(100*time.Millisecond), longest)
+	}
+	if f.Zone != "" && !zones[f.Zone] {
+		c.bad(at+"zone", "no zone is called %q", f.Zone)
+	}
+	if f.Tenant != "" && !tenants[f.Tenant] {
+		c.bad(at+"tenant", "no tenant is called %q", f.Tenant)
+	}
+	for _, n := range f.Nodes {
+		if !slices.ContainsFunc(ids, func(id string) bool { return matches(n, id) }) {
+			c.bad(at+"nodes", "no node is called %q", n)
+		}
+	}
+	for _, b := range f.Balancers {
+		if b < 1 || b > c.day.Fleet.Balancers {
+			c.bad(at+"balancers", "expected 1 to %d, got %d", c.day.Fleet.Balancers, b)
+		}
+	}
+}
+
+// matches tells whether a word of a fault means a node: its name, or the begin of it before a star.
+func matches(word, id string) bool {
+	if begin, ok := strings.CutSuffix(word, "*"); ok {
+		return strings.HasPrefix(id, begin)
+	}
+	return word == id
+}
+
+// Kinds are the kinds of faults, in order.
+func Kinds() (names []string) {
+	for k := range kinds {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// KindAbout says what a kind of fault does.
+func KindAbout(name string) string { return kinds[name].about }
+
+// Hit are the nodes at the start of the day that a fault is about: those it names, or a drawn part of all.
+func (d *Day) Hit(i int) (hit []string) {
+	f := &d.Faults[i]
+	ids, groups := d.NodeIDs()
+	if f.Do == "zone-dark" {
+		for _, id := range ids {
+			if groups[id].Zone == f.Zone {
+				hit = append(hit, id)
+			}
+		}
+		return hit
+	}
+	if len(f.Nodes) > 0 {
+		for _, id := range ids {
+			if slices.ContainsFunc(f.Nodes, func(w string) bool { return matches(w, id) }) {
+				hit = append(hit, id)
+			}
+		}
+		return hit
+	}
+	r := model.Stream(d.Seed, "fault "+strconv.Itoa(i))
+	r.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	hit = ids[:max(1, int(f.Part*float64(len(ids))+0.5))]
+	slices.Sort(hit)
+	return hit
+}
+
+// HitBalancers are the balancers that a fault is about, counted from 0; all where it names none.
+func (d *Day) HitBalancers(i int) (hit []int) {
+	for _, b := range d.Faults[i].Balancers {
+		hit = append(hit, b-1)
+	}
+	if len(hit) == 0 {
+		for b := range d.Fleet.Balancers {
+			hit = append(hit, b)
+		}
+	}
+	return hit
+}
--- /dev/null
+++ b/internal/rehearsal/scenario/scenario.go
@@ -0,0 +1,371 @@
+// Package scenario reads the files that describe a rehearsal: the fleet, who calls, what goes wrong when, and by which
+// figures the rules are judged. A file is checked whole; each fault in it is named with file, line and key.
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"streamrail/internal/rehearsal/model"
+)
+
+// Span is a length of time, written like 250ms.
+type Span time.Duration
+
+// UnmarshalText reads a span; a bare number has no unit and is refused.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("expected a time with its unit like 250ms, got %q", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalText writes a span as it is read.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span as a duration.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+func (s Span) String() string { return time.Duration(s).String() }
+
+// Range is from a least to a most.
+type Range [2]Span
+
+// Day is one rehearsal.
+type Day struct {
+	Name   string `toml:"name" comment:"how it is called"`
+	About  string `toml:"about"`
+	Length Span   `toml:"length"`
+	Seed   uint64 `toml:"seed"`
+
+	Fleet    Fleet     `toml:"fleet"`
+	Nodes    []Node    `toml:"node"`
+	Gateway  Gateway   `toml:"gateway"`
+	Register Register  `toml:"register"`
+	Load     Load      `toml:"load"`
+	Clients  Clients   `toml:"client"`
+	Products []Product `toml:"product"`
+	Tenants  []Tenant  `toml:"tenant"`
+	Rules    Rules     `toml:"rules"`
+	Faults   []Fault   `toml:"fault"`
+}
+
+// Fleet is where things stand and what a balancer is given.
+type Fleet struct {
+	Zones     []string `toml:"zones"`
+	Balancers int      `toml:"balancers"` // spread over the zones in turn
+	Same      Span     `toml:"same"`      // one way within a zone
+	Cross     Span     `toml:"cross"`     // one way between zones
+	MemoryMB  int      `toml:"memory_mb"` // of each balancer
+	Sockets   int      `toml:"sockets"`
+	Shots     int      `toml:"shots"`   // of one API call at most
+	Mode      string   `toml:"mode"`    // aside: nodes answer a miss and the balancer asks the gateway; through: nodes ask it
+	Reports   bool     `toml:"reports"` // nodes add their load to answers
+}
+
+// Node is a group of equal cache nodes; they are called NAME-1, NAME-2 and so on.
+type Node struct {
+	Name         string  `toml:"name"`
+	Zone         string  `toml:"zone"`
+	Count        int     `toml:"count"`
+	Cores        int     `toml:"cores"`
+	Speed        float64 `toml:"speed"`
+	Queue        int     `toml:"queue"`
+	KeepMB       float64 `toml:"keep_mb"`
+	Connections  int     `toml:"connections"`
+	ConnectWork  Span    `toml:"connect_work"`
+	ProbeWork    Span    `toml:"probe_work"`
+	Idle         Span    `toml:"idle"`
+	PauseEvery   Span    `toml:"pause_every"`
+	PauseFor     Span    `toml:"pause_for"`
+	ColdFrom     float64 `toml:"cold_from"`
+	WarmFor      Span    `toml:"warm_for"`
+	DropsGivenUp bool    `toml:"drops_given_up"`
+}
+
+// Gateway is what the cache nodes lack is asked of.
+type Gateway struct {
+	Slots        int     `toml:"slots"`
+	Time         Span    `toml:"time"`
+	Queue        int     `toml:"queue"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallFor      Span    `toml:"fall_for"`
+	StopFor      Span    `toml:"stop_for"`
+}
+
+// Register is how late the list tells what happens.
+type Register struct {
+	Late Range `toml:"late"`
+}
+
+// Load is the usual traffic.
+type Load struct {
+	PerS      float64 `toml:"per_s"`
+	Swing     float64 `toml:"swing"`
+	SwingFor  Span    `toml:"swing_for"`
+	Keys      int     `toml:"keys"`
+	Zipf      float64 `toml:"zipf"`
+	ValueSize int     `toml:"value_size"`
+	Quota     float64 `toml:"quota"` // share of the fleet's capacity that the tenants' allowances make up together
+	Warm      float64 `toml:"warm"`  // share of the keys that the nodes keep at the start, the most popular first
+}
+
+// Clients is how callers behave.
+type Clients struct {
+	Tries     int        `toml:"tries"` // besides the first
+	Wait      Span       `toml:"wait"`
+	Honour    float64    `toml:"honour"` // share of the come-back times that are kept to
+	ComeBack  Span       `toml:"come_back"`
+	GiveUpAt  [2]float64 `toml:"give_up_at"`
+	Notice    Span       `toml:"notice"` // until the front leaves a dead balancer alone
+	ZoneParts []float64  `toml:"zone_parts"`
+}
+
+// Product is a kind of API call.
+type Product struct {
+	Name          string    `toml:"name"`
+	Share         float64   `toml:"share"`
+	Work          Span      `toml:"work"`
+	Law           model.Law `toml:"law"`
+	Variation     float64   `toml:"variation"`
+	LatencySLO    Span      `toml:"latency_slo"`
+	ClientTimeout Span      `toml:"client_timeout"`
+	BilledValue   float64   `toml:"billed_value"`
+	Effect        string    `toml:"effect"` // idempotent, deduplicated or non-idempotent
+	Window        Span      `toml:"window"` // in which a deduplicated one's repeats are dropped
+	Write         bool      `toml:"write"`
+}
+
+// Tenant is who calls.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"` // of the fleet
+	Usage float64 `toml:"usage"` // of its share in the usual traffic
+}
+
+// Rules are the figures of the rules.
+type Rules struct {
+	DrainGrace   Span    `toml:"drain_grace"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallFor      Span    `toml:"fall_for"`
+	Slack        Span    `toml:"slack"`      // that each time limit of the judge gets for the way
+	Prompt       Span    `toml:"prompt"`     // in which what is given up is answered
+	ColdBlame    float64 `toml:"cold_blame"` // share of misses at cold nodes from which a stopped gateway breaks rule four
+}
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Do        string   `toml:"do"`
+	At        Span     `toml:"at"`
+	For       Span     `toml:"for"`
+	Nodes     []string `toml:"nodes"`
+	Part      float64  `toml:"part"`
+	By        float64  `toml:"by"`
+	Delay     Span     `toml:"delay"`
+	Zone      string   `toml:"zone"`
+	Balancers []int    `toml:"balancers"`
+	Tenant    string   `toml:"tenant"`
+	Keys      int      `toml:"keys"`
+	AtOnce    int      `toml:"at_once"`
+	Drain     Span     `toml:"drain"`
+	Same      bool     `toml:"same_address"`
+	Count     int      `toml:"count"`
+}
+
+// kind says what a fault needs and may have.
+type kind struct {
+	about string
+	needs []string
+	may   []string
+}
+
+var kinds = map[string]kind{
+	"slow":             {"nodes do their work BY times slower", []string{"for", "by"}, []string{"nodes", "part"}},
+	"stall":            {"nodes take calls and do none", []string{"for"}, []string{"nodes", "part"}},
+	"kill":             {"nodes die without a word and come back cold after FOR", []string{"for"}, []string{"nodes", "part"}},
+	"vanish":           {"nodes fall silent, connections too, and come back cold after FOR", []string{"for"}, []string{"nodes", "part"}},
+	"reset":            {"nodes break the connection in the middle of this part of their answers", []string{"for", "part"}, []string{"nodes"}},
+	"spoil":            {"nodes spoil this part of their answers", []string{"for", "part"}, []string{"nodes"}},
+	"fail":             {"nodes answer this part of their calls with an error", []string{"for", "part"}, []string{"nodes"}},
+	"link-delay":       {"the way to nodes takes DELAY more", []string{"for", "delay"}, []string{"nodes", "part", "balancers"}},
+	"link-cut":         {"the way to nodes loses everything", []string{"for"}, []string{"nodes", "part", "balancers"}},
+	"zone-dark":        {"all nodes of a zone vanish and come back cold", []string{"for", "zone"}, nil},
+	"deploy":           {"nodes are replaced by cold successors, AT_ONCE at a time", []string{"for"}, []string{"nodes", "part", "at_once", "drain", "same_address"}},
+	"register-silent":  {"the register says nothing", []string{"for"}, []string{"balancers"}},
+	"register-rewind":  {"the register's versions start over", nil, []string{"balancers"}},
+	"gateway-slow":     {"the gateway is BY times slower", []string{"for", "by"}, nil},
+	"balancer-kill":    {"balancers are killed and start again after FOR", []string{"for"}, []string{"balancers"}},
+	"balancer-restart": {"balancers get SIGTERM and start again", nil, []string{"balancers"}},
+	"reload":           {"the register moves to another address and balancers get SIGHUP", nil, []string{"balancers"}},
+	"surge":            {"traffic is BY times the usual", []string{"for", "by"}, []string{"tenant"}},
+	"scan":             {"this part of the reads ask for keys wanted exactly once", []string{"for", "part"}, nil},
+	"hot":              {"this part of the reads ask for a few keys", []string{"for", "part", "keys"}, nil},
+	"rude":             {"COUNT clients that send nonsense, or nothing, in turn", []string{"for", "count"}, nil},
+}
+
+// defaults are what a file that says nothing has: a small fleet that a laptop carries.
+func defaults() Day {
+	return Day{
+		Length: Span(30 * time.Second), Seed: 1,
+		Fleet: Fleet{Zones: []string{"here"}, Balancers: 2, Same: Span(200 * time.Microsecond), Cross: Span(10 * time.Millisecond),
+			MemoryMB: 192, Sockets: 1024, Shots: 4, Mode: Aside},
+		Gateway: Gateway{Slots: 16, Time: Span(150 * time.Millisecond), Queue: 32, FallMultiple: 3, FallFor: Span(3 * time.Second),
+			StopFor: Span(4 * time.Second)},
+		Register: Register{Late: Range{Span(500 * time.Millisecond), Span(2 * time.Second)}},
+		Load:     Load{PerS: 200, Keys: 2000, Zipf: 1, ValueSize: 300, Quota: 0.6, Warm: 1},
+		Clients: Clients{Tries: 2, Wait: Span(50 * time.Millisecond), Honour: 1, ComeBack: Span(2 * time.Second),
+			GiveUpAt: [2]float64{0.7, 1}, Notice: Span(time.Second)},
+		Rules: Rules{DrainGrace: Span(time.Second), FallMultiple: 3, FallFor: Span(2 * time.Second), Slack: Span(50 * time.Millisecond),
+			Prompt: Span(300 * time.Millisecond), ColdBlame: 0.3},
+	}
+}
+
+// given tells whether a key of a table stands in the file: a zero that was written is no absent key.
+type given func(key string) bool
+
+// or sets what the file does not say.
+func or[T comparable](has given, key string, v *T, absent T) {
+	var zero T
+	if *v == zero && !has(key) {
+		*v = absent
+	}
+}
+
+func (n *Node) settle(has given) {
+	or(has, "count", &n.Count, 1)
+	or(has, "cores", &n.Cores, 2)
+	or(has, "queue", &n.Queue, 200)
+	or(has, "connections", &n.Connections, 1500)
+	or(has, "speed", &n.Speed, 1)
+	or(has, "keep_mb", &n.KeepMB, 8)
+	or(has, "cold_from", &n.ColdFrom, 0.2)
+	or(has, "idle", &n.Idle, Span(60*time.Second))
+	or(has, "warm_for", &n.WarmFor, Span(15*time.Second))
+	if n.PauseEvery > 0 {
+		or(has, "pause_for", &n.PauseFor, Span(200*time.Millisecond))
+	}
+}
+
+func (p *Product) settle(has given) {
+	or(has, "law", &p.Law, model.Exponential)
+	or(has, "variation", &p.Variation, 1)
+	or(has, "billed_value", &p.BilledValue, 1)
+	or(has, "effect", &p.Effect, Idempotent)
+}
+
+func (f *Fault) settle(has given) {
+	if f.Do == "deploy" {
+		or(has, "at_once", &f.AtOnce, 1)
+		or(has, "drain", &f.Drain, Span(2*time.Second))
+	}
+	ofNodes := f.Part == 0 || f.Do == "reset" || f.Do == "spoil" || f.Do == "fail" // there the part is of the answers
+	if ofNodes && len(f.Nodes) == 0 {
+		f.Nodes = []string{"*"}
+	}
+}
+
+// Where the gateway is asked from.
+const (
+	Aside   = "aside"
+	Through = "through"
+)
+
+// Effects by which products are known.
+const (
+	Idempotent    = "idempotent"
+	Deduplicated  = "deduplicated"
+	NonIdempotent = "non-idempotent"
+)
+
+// NodeIDs are all nodes at the start, with the group of each.
+func (d *Day) NodeIDs() (ids []string, groups map[string]*Node) {
+	groups = map[string]*Node{}
+	for i := range d.Nodes {
+		g := &d.Nodes[i]
+		for n := range g.Count {
+			id := fmt.Sprintf("%s-%d", g.Name, n+1)
+			ids = append(ids, id)
+			groups[id] = g
+		}
+	}
+	return ids, groups
+}
+
+// missPart is what finding nothing costs of a read's work: a look-up without the value's making.
+const missPart = 0.2
+
+// NodeTerms is what a node of the group is to the model.
+func (d *Day) NodeTerms(n *Node) model.NodeTerms {
+	r, miss := d.Rules, missPart
+	if d.Fleet.Mode == Through {
+		miss = 0
+	}
+	return model.NodeTerms{Cores: n.Cores, Speed: n.Speed, Queue: n.Queue, KeepBytes: int64(n.KeepMB * (1 << 20)),
+		ColdFrom: n.ColdFrom, WarmFor: n.WarmFor.D(), FallMultiple: r.FallMultiple, FallFor: r.FallFor.D(),
+		PauseEvery: n.PauseEvery.D(), PauseFor: n.PauseFor.D(), DropsGivenUp: n.DropsGivenUp, MissPart: miss}
+}
+
+// Capacity is how many API calls a second the nodes can do at the start.
+func (d *Day) Capacity() float64 {
+	work, shares, able := 0.0, 0.0, 0.0
+	for _, p := range d.Products {
+		work += p.Share * p.Work.D().Seconds()
+		shares += p.Share
+	}
+	for _, n := range d.Nodes {
+		able += float64(n.Count) * float64(n.Cores) * n.Speed
+	}
+	return able / (work / shares)
+}
+
+// GatewayTerms is what the gateway is to the model.
+func (d *Day) GatewayTerms() model.GatewayTerms {
+	t := model.GatewayTerms{Slots: d.Gateway.Slots, Time: d.Gateway.Time.D(), Queue: d.Gateway.Queue,
+		FallMultiple: d.Gateway.FallMultiple, FallFor: d.Gateway.FallFor.D(), StopFor: d.Gateway.StopFor.D()}
+	for _, p := range d.Products {
+		t.Window = max(t.Window, p.Window.D())
+	}
+	return t
+}
+
+// LoadTerms is what the callers are to the model.
+func (d *Day) LoadTerms() model.LoadTerms {
+	t := model.LoadTerms{For: d.Length.D(), PerS: d.Load.PerS, Swing: d.Load.Swing, SwingFor: d.Load.SwingFor.D(),
+		Keys: d.Load.Keys, Zipf: d.Load.Zipf, GiveUpAt: d.Clients.GiveUpAt, Zones: d.Clients.ZoneParts}
+	if len(t.Zones) == 0 {
+		for range d.Fleet.Zones {
+			t.Zones = append(t.Zones, 1)
+		}
+	}
+	for _, p := range d.Products {
+		t.Products = append(t.Products, model.Product{Name: p.Name, Share: p.Share, LatencySLO: p.LatencySLO.D(),
+			ClientTimeout: p.ClientTimeout.D(), BilledValue: p.BilledValue, Write: p.Write, Marked: p.Effect == Deduplicated})
+	}
+	for _, x := range d.Tenants {
+		t.Tenants = append(t.Tenants, model.Tenant{Name: x.Name, Share: x.Share * x.Usage})
+	}
+	for _, f := range d.Faults {
+		from, to := f.At.D(), (f.At + f.For).D()
+		switch f.Do {
+		case "surge":
+			t.Surges = append(t.Surges, model.Surge{From: from, To: to, Tenant: f.Tenant, Times: f.By})
+		case "scan":
+			t.Focuses = append(t.Focuses, model.Focus{From: from, To: to, Part: f.Part})
+		case "hot":
+			t.Focuses = append(t.Focuses, model.Focus{From: from, To: to, Part: f.Part, Keys: f.Keys})
+		}
+	}
+	return t
+}
+
+// Retry is what clients do after a try that was not fulfilled.
+func (d *Day) Retry() model.Retry {
+	c := d.Clients
+	return model.Retry{Tries: c.Tries, Wait: c.Wait.D(), Honour: c.Honour, HonourTo: c.ComeBack.D()}
+}
+
+// ErrFaulty is in all errors about a file's content.
+var ErrFaulty = errors.New("faulty scenario")
