--- a/internal/rehearsal/measure/measure.go
+++ b/internal/rehearsal/measure/measure.go
@@ -36,7 +36,10 @@
 const LateMost = 2 * time.Millisecond
 
 // nodes answer at once, so that nothing but the way is measured.
-const nodes = 8
+const (
+	nodes  = 8
+	atOnce = scenario.Span(time.Nanosecond) // done before a timer could be set
+)
 
 func day(perS float64, length time.Duration, seed uint64) *scenario.Day {
 	d := &scenario.Day{Name: fmt.Sprintf("%.0f-per-s", perS), Length: scenario.Span(length), Seed: seed,
@@ -46,7 +49,7 @@
 		Gateway:  scenario.Gateway{Slots: 64, Time: scenario.Span(time.Millisecond), Queue: 1 << 12},
 		Load:     scenario.Load{PerS: perS, Keys: 1000, ValueSize: 300, Warm: 1, Quota: 1000},
 		Clients:  scenario.Clients{GiveUpAt: [2]float64{1, 1}, Notice: scenario.Span(time.Second)},
-		Products: []scenario.Product{{Name: "read", Share: 1, Law: model.Constant, LatencySLO: scenario.Span(time.Second), ClientTimeout: scenario.Span(2 * time.Second), BilledValue: 1, Effect: scenario.Idempotent}},
+		Products: []scenario.Product{{Name: "read", Share: 1, Law: model.Constant, Work: atOnce, LatencySLO: scenario.Span(time.Second), ClientTimeout: scenario.Span(2 * time.Second), BilledValue: 1, Effect: scenario.Idempotent}},
 		Tenants:  []scenario.Tenant{{Name: "all", Share: 1, Usage: 1}},
 		Rules:    scenario.Rules{DrainGrace: scenario.Span(time.Second), FallMultiple: 3, FallFor: scenario.Span(2 * time.Second)},
 	}
--- a/internal/rehearsal/report/html.go
+++ b/internal/rehearsal/report/html.go
@@ -76,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		band.Color, band.LineStyle.Width = color.RGBA{240, 215, 200, 255}, 0
+		band.Color, band.LineStyle.Width = color.NRGBA{230, 140, 90, 70}, 0
 		p.Add(band)
 	}
 	return nil
--- a/internal/rehearsal/standin/node.go
+++ b/internal/rehearsal/standin/node.go
@@ -301,8 +301,8 @@
 	j := model.Job{ID: s.id, Key: s.key, Mark: s.mark, Write: s.write, Work: s.work, Tag: s}
 	if !n.m.Offer(now, j) {
 		s.finish(answer{busy: true})
-	} else if j.Work == 0 {
-		n.advance(now) // done at once: no timer stands between, where the way itself is measured
+	} else {
+		n.advance(n.w.Now()) // the smallest pieces of work are done by now, without a timer
 	}
 	n.mu.Unlock()
 	n.wake()
