Bound connections to hosts by the operator's own file; rehearse new hosts and stale closes

The pool's bounds could not be set, and nothing had shown them on sockets. STREAMRAIL_FILE names the operator's own TOML file; internal/strict reads it (as it does scenario files) so that unknown keys, wrong units and figures are all named with file, line and key. Without it nothing changes. A host whose bounds refuse shots is logged. Two rehearsals: cold successors that break off half of their answers, and hosts that close what rested for 100 ms while they say 10 s.

The rehearsal found two calls left without an answer until their clients left: shots that waited for a connection when the last one of their host ended and none might be opened. A property test now holds that none waits for nothing, and found two more ways (a dial to a process that was replaced, dials that had lost their shot).

--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -59,10 +59,12 @@
 
 // play is what all commands that play a day share.
 type play struct {
-	Balancer string        `help:"The balancer program; by default streamrail beside this one." type:"path" placeholder:"FILE"`
-	Seed     uint64        `help:"Another seed than the file's."`
-	For      time.Duration `help:"Another length than the file's; faults that do not fit are left out."`
-	Out      string        `help:"A folder for the report and the balancers' logs." type:"path" placeholder:"DIR"`
+	Balancer  string        `help:"The balancer program; by default streamrail beside this one." type:"path" placeholder:"FILE"`
+	Seed      uint64        `help:"Another seed than the file's."`
+	Balancers int           `help:"Another number of balancers than the file's."`
+	For       time.Duration `help:"Another length than the file's; faults that do not fit are left out."`
+	Operator  string        `help:"The operator's own file for the balancers, in place of the rehearsal's; 'none' for none." placeholder:"FILE"`
+	Out       string        `help:"A folder for the report and the balancers' logs." type:"path" placeholder:"DIR"`
 }
 
 // program finds the balancer.
@@ -90,6 +92,20 @@
 	if p.Seed != 0 {
 		d.Seed = p.Seed
 	}
+	if p.Balancers != 0 {
+		d.Fleet.Balancers = p.Balancers
+	}
+	switch p.Operator {
+	case "":
+	case "none":
+		d.Operator = ""
+	default:
+		text, err := os.ReadFile(p.Operator)
+		if err != nil {
+			return nil, err
+		}
+		d.Operator = string(text)
+	}
 	if p.For != 0 {
 		if p.For < time.Second {
 			return nil, fmt.Errorf("--for: %w: expected a second at least, got %v", scenario.ErrFaulty, p.For)
--- a/cmd/streamrail/main.go
+++ b/cmd/streamrail/main.go
@@ -12,6 +12,7 @@
 
 	"streamrail/internal/balancer"
 	"streamrail/internal/deployment"
+	"streamrail/internal/operator"
 )
 
 func main() { os.Exit(run()) }
@@ -34,7 +35,12 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(told.MemoryMB) << 20 * 3 / 4)
 	debug.SetGCPercent(collectAt)
-	b := balancer.New(told, log)
+	own, err := operator.Read(os.Getenv("STREAMRAIL_FILE"))
+	if err != nil {
+		log.Error().Err(err).Msg("faulty configuration")
+		return 2
+	}
+	b := balancer.New(told, own, log)
 	orders := make(chan os.Signal, 4)
 	signal.Notify(orders, syscall.SIGTERM, syscall.SIGINT)
 	cut := make(chan struct{})
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"streamrail/internal/deployment"
+	"streamrail/internal/operator"
 	"streamrail/internal/pool"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
@@ -51,8 +52,8 @@
 	tally      tally
 }
 
-// New makes a balancer in the phase starting.
-func New(told *deployment.Deployment, log zerolog.Logger) *Balancer {
+// New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
+func New(told *deployment.Deployment, own *operator.File, log zerolog.Logger) *Balancer {
 	room := told.Sockets - ownSockets
 	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4), rested: make(chan *call),
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
@@ -60,8 +61,8 @@
 		clients:    newClients(room/2-room/16, room/2),
 		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
 		mostHeld:   int64(told.MemoryMB) << 20 / part,
-		hosts: upstream.New(upstream.Limits{Pool: pool.Terms{Balancers: told.Terms.Balancers, Most: room / 2,
-			Idle: policy.Nanos(told.IdleLimit)}, Origin: mostToOrigin, Connect: told.ConnectTimeout,
+		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
+			Most: room / 2, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
 	b.wakes.armed = never
 	b.running, b.end = context.WithCancel(context.Background())
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -9,7 +9,10 @@
 	"streamrail/policy"
 )
 
-const reportEvery = 10 * time.Second
+const (
+	reportEvery = 10 * time.Second
+	boundLeast  = 5 // refusals by a bound on connections in that time: fewer is a burst that passed
+)
 
 // tally counts what became of API calls and shots since the start.
 type tally struct {
@@ -47,6 +50,11 @@
 			b.log.Warn().Str("host", string(id)).Int64("shots", n[0]).Int64("bad", n[1]).Msg("host in trouble")
 		}
 	}
+	for id, n := range b.hosts.Bound() {
+		if n >= boundLeast {
+			b.log.Warn().Str("host", string(id)).Int("shots", n).Msg("connections bound")
+		}
+	}
 	byOutcome := zerolog.Dict()
 	for i, n := range shots {
 		if n > 0 {
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,51 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"streamrail/internal/pool"
+	"streamrail/policy"
+)
+
+// A faulty file changes nothing: it is refused as a whole, with file, line and key of all that is wrong.
+func TestFaulty(t *testing.T) {
+	for text, want := range map[string]string{
+		"[conections]\nwait = 0.5":                           "own.toml:1: conections: unknown key",
+		"[connections]\nhost_most = 0":                       "own.toml:2: connections.host_most: no connection at all",
+		"[connections]\nhost_most = -3":                      "own.toml:2: connections.host_most: expected 0 to",
+		"[connections]\nage = 90":                            "own.toml:2: connections.age: ",
+		"[connections]\nage = \"10 parsecs\"":                "own.toml:2: connections.age: ",
+		"[connections]\nage = \"5ms\"":                       "own.toml:2: connections.age: expected a second at least",
+		"[connections]\nreuse = \"first\"":                   "own.toml:2: connections.reuse: expected longest or last",
+		"[connections]\ncold_openings = 4.0":                 "own.toml:2: connections.cold_openings: it needs openings too",
+		"[connections]\nopenings = 4.0\ncold_openings = 9.0": "own.toml:3: connections.cold_openings: a cold host",
+		"[connections]\nwait = 1.5\nahead = 99.0":            "own.toml:3: connections.ahead: expected 0 to 10",
+	} {
+		if _, err := Parse("own.toml", []byte(text)); !errors.Is(err, ErrFaulty) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, expected %q", text, err, want)
+		}
+	}
+}
+
+// The sample under deploy/ is sound and says what it seems to; nothing said changes nothing.
+func TestTerms(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/streamrail.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("streamrail.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := pool.Terms{Balancers: 3, Most: 500, Idle: 9}
+	got := f.Connections.Terms(base)
+	if got.Openings != 40 || got.ColdOpenings != 20 || got.ColdFor != 20*policy.Second || got.Most != 500 || got.HostMost != 1200 {
+		t.Errorf("%+v", got)
+	}
+	if got := (&Connections{}).Terms(base); got != base {
+		t.Errorf("an empty file makes %+v of %+v", got, base)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -128,7 +128,8 @@
 	shot  Shot
 	host  *host
 	until policy.Nanos
-	from  *conn // that is opened for it
+	by    policy.Nanos // it is refused where it waits still for one in use; 0: it waits for one that is opened
+	from  *conn        // that is opened for it
 }
 
 // New makes a pool with nothing in it.
@@ -152,6 +153,7 @@
 		h.born, h.most, h.need = born, 0, need{}
 		h.tokens, h.tokensAt = min(h.tokens, p.burst(h, now)), now
 		p.clear(h, Leaving)
+		p.relieve(now, h)
 	}
 	h.leaving = false
 }
@@ -219,6 +221,9 @@
 		p.orders.Refuse(s, why)
 		return
 	}
+	if why != Unknown {
+		w.by = now + policy.Nanos(p.terms.Wait*float64(until-now))
+	}
 	h.queue = append(h.queue, w)
 	p.waiting[s] = w
 	if why == Unknown {
@@ -314,6 +319,7 @@
 	h := c.host
 	if p.shut || h.leaving || c.process != h.process {
 		p.close(c, Leaving)
+		p.relieve(now, h)
 		return
 	}
 	if why, over := p.over(now, c); over && len(h.queue) == 0 {
@@ -384,7 +390,7 @@
 }
 
 // Failed hears that a connection did not come up. The shot that it was opened for is refused: its host may be dead.
-func (p *Pool) Failed(id Conn) {
+func (p *Pool) Failed(now policy.Nanos, id Conn) {
 	c := p.conns[id]
 	if c == nil {
 		return
@@ -396,6 +402,7 @@
 		w.from = nil
 		p.refuse(w, NoConnect)
 	}
+	p.relieve(now, c.host)
 	p.forget(c.host)
 }
 
@@ -424,17 +431,23 @@
 	h.most, h.mostAt = max(1, min(p.boundOf(h), h.open)-1), now
 }
 
-// relieve opens for the first shot that waits and that nothing is opened for, where a connection has ended.
+// relieve looks after the shots that wait where a connection has ended: one is opened for the first that none is opened
+// for. Where that may not be and nothing is left that could come free, they are refused: a shot that waits for nothing
+// would wait until its time is over.
 func (p *Pool) relieve(now policy.Nanos, h *host) {
-	for _, w := range h.queue {
-		if w.from == nil {
-			if p.place(now, h) == Unknown {
-				w.from = p.begin(now, h, w)
-			} else if h.open-h.opening-len(h.rest) <= 0 && h.opening == 0 {
-				p.refuse(w, Full) // nothing that could come free is left
-			}
+	for _, w := range slices.Clone(h.queue) {
+		if w.from != nil {
+			continue
+		}
+		why := p.place(now, h)
+		if why == Unknown {
+			w.from = p.begin(now, h, w)
+			return
+		}
+		if h.open > len(h.rest) { // some are in use or being opened
 			return
 		}
+		p.refuse(w, why)
 	}
 }
 
@@ -642,6 +655,8 @@
 		for _, w := range slices.Clone(h.queue) {
 			if now >= w.until {
 				p.refuse(w, Late)
+			} else if w.by > 0 && now >= w.by && w.from == nil {
+				p.refuse(w, Full)
 			}
 		}
 		for _, c := range slices.Clone(h.rest) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -113,7 +113,7 @@
 
 func (w *world) failed(c Conn) {
 	delete(w.conns, c)
-	w.p.Failed(c)
+	w.p.Failed(w.now, c)
 }
 
 func (w *world) expect(t *testing.T, want string) {
@@ -375,6 +375,11 @@
 					t.Fatalf("%s has %d open by the orders, %d by the count", id, of[id], h.open)
 				}
 			}
+			for id, h := range w.p.hosts {
+				if len(h.queue) > 0 && h.open == len(h.rest) {
+					t.Fatalf("shots wait at %s for nothing", id)
+				}
+			}
 			n := 0
 			for _, what := range w.shots {
 				if what == "asked" {
--- a/internal/rehearsal/runner/config.go
+++ b/internal/rehearsal/runner/config.go
@@ -41,7 +41,7 @@
 	}
 	coldFrom, warmFor, idle := 1.0, time.Duration(0), time.Hour
 	for _, n := range d.Nodes {
-		coldFrom, warmFor, idle = min(coldFrom, n.ColdFrom), max(warmFor, n.WarmFor.D()), min(idle, n.Idle.D())
+		coldFrom, warmFor, idle = min(coldFrom, n.ColdFrom), max(warmFor, n.WarmFor.D()), min(idle, n.Told())
 	}
 	settings := m{
 		"balancers": d.Fleet.Balancers, "areas": d.Fleet.Zones, "locality": zone, "hostTypes": []string{"cache", "origin"},
@@ -59,6 +59,11 @@
 	if err != nil {
 		return err
 	}
+	if d.Operator != "" {
+		if err := os.WriteFile(operatorFile(path), []byte(d.Operator), 0o600); err != nil {
+			return err
+		}
+	}
 	next := path + ".next"
 	if err := os.WriteFile(next, text, 0o600); err != nil {
 		return err
--- a/internal/rehearsal/runner/process.go
+++ b/internal/rehearsal/runner/process.go
@@ -41,7 +41,10 @@
 		}
 		defer out.Close()
 		cmd := exec.CommandContext(ctx, path)
-		cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=")
+		cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "STREAMRAIL_FILE=")
+		if own := operatorFile(config); fileExists(own) {
+			cmd.Env[len(cmd.Env)-1] += own
+		}
 		cmd.Stderr, cmd.Stdout = out, out
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the kit
 		if err := cmd.Start(); err != nil {
@@ -56,6 +59,16 @@
 	}
 }
 
+// operatorFile is where the operator's own file of a balancer stands, beside its configuration.
+func operatorFile(config string) string {
+	return filepath.Join(filepath.Dir(config), "operator.toml")
+}
+
+func fileExists(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
 type process struct {
 	cmd  *exec.Cmd
 	done chan struct{}
--- a/internal/rehearsal/scenario/read.go
+++ b/internal/rehearsal/scenario/read.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"bytes"
 	"embed"
 	"errors"
 	"fmt"
@@ -13,10 +12,8 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
-
 	"streamrail/internal/rehearsal/model"
+	"streamrail/internal/strict"
 )
 
 //go:embed library/*.toml
@@ -53,31 +50,13 @@
 // Parse reads and checks a file's text. Its error names every fault that was found, a line each.
 func Parse(file string, text []byte) (*Day, error) {
 	d := defaults()
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	c := &checker{file: file, lines: lines(text), day: &d}
-	if err := dec.Decode(&d); err != nil {
-		var unknown *toml.StrictMissingError
-		var wrong *toml.DecodeError
-		switch {
-		case errors.As(err, &unknown):
-			for _, e := range unknown.Errors {
-				line, _ := e.Position()
-				c.at(line, strings.Join(e.Key(), "."), "unknown key")
-			}
-		case errors.As(err, &wrong):
-			line, _ := wrong.Position()
-			key := strings.Join(wrong.Key(), ".")
-			if key == "" {
-				key = c.keyAt(line)
-			}
-			c.at(line, key, strings.TrimPrefix(wrong.Error(), "toml: "))
-		default:
-			c.at(0, "", err.Error())
-		}
-		return nil, c.err()
+	f := strict.Decode(file, text, &d)
+	if !f.Sound() {
+		return nil, f.Err(ErrFaulty)
 	}
+	c := &checker{File: f, day: &d}
 	has := func(list string, i int) given {
-		return func(key string) bool { _, ok := c.lines[fmt.Sprintf("%s[%d].%s", list, i+1, key)]; return ok }
+		return func(key string) bool { return f.Given(fmt.Sprintf("%s[%d].%s", list, i+1, key)) }
 	}
 	if len(d.Nodes) == 0 {
 		d.Nodes = []Node{{Name: "node", Count: 4}}
@@ -101,7 +80,7 @@
 		d.Faults[i].settle(has("fault", i))
 	}
 	c.check()
-	return &d, c.err()
+	return &d, f.Err(ErrFaulty)
 }
 
 // usualProducts are those of a file that names none: reads, and writes of both kinds.
@@ -116,92 +95,14 @@
 	}
 }
 
-// lines tells on which line each key of a file stands. Entries of lists of tables are counted from 1.
-func lines(text []byte) map[string]int {
-	at := map[string]int{}
-	count := map[string]int{}
-	p := unstable.Parser{}
-	p.Reset(text)
-	prefix := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		var parts []string
-		line := 0
-		for it := e.Key(); it.Next(); {
-			k := it.Node()
-			parts = append(parts, string(k.Data))
-			line = 1 + bytes.Count(text[:k.Raw.Offset], []byte("\n"))
-		}
-		key := strings.Join(parts, ".")
-		switch e.Kind {
-		case unstable.Table:
-			prefix = key
-		case unstable.ArrayTable:
-			count[key]++
-			prefix = key + "[" + strconv.Itoa(count[key]) + "]"
-			key = prefix
-		case unstable.KeyValue:
-			if prefix != "" {
-				key = prefix + "." + key
-			}
-		}
-		if _, ok := at[key]; !ok {
-			at[key] = line
-		}
-	}
-	return at
-}
-
 type checker struct {
-	file   string
-	lines  map[string]int
-	day    *Day
-	faults []string
-}
-
-func (c *checker) at(line int, key, what string) {
-	where := c.file
-	if line > 0 {
-		where += ":" + strconv.Itoa(line)
-	}
-	if key != "" {
-		where += ": " + key
-	}
-	c.faults = append(c.faults, where+": "+what)
-}
-
-// keyAt is the key that stands on a line.
-func (c *checker) keyAt(line int) (key string) {
-	for k, l := range c.lines {
-		if l == line && len(k) > len(key) {
-			key = k
-		}
-	}
-	return key
-}
-
-// bad names a fault of a key, on its own line or that of the table it is missing in.
-func (c *checker) bad(key, form string, args ...any) {
-	line, ok := c.lines[key]
-	for up := key; !ok && up != ""; {
-		up = up[:max(0, strings.LastIndexByte(up, '.'))]
-		line, ok = c.lines[up]
-	}
-	c.at(line, key, fmt.Sprintf(form, args...))
-}
-
-func (c *checker) err() error {
-	if len(c.faults) == 0 {
-		return nil
-	}
-	return fmt.Errorf("%w\n%s", ErrFaulty, strings.Join(c.faults, "\n"))
+	*strict.File
+	day *Day
 }
 
 // within holds a figure to a range.
 func within[T int | float64 | Span](c *checker, key string, v, least, most T) {
-	if v < least || v > most {
-		c.bad(key, "expected %v to %v, got %v", least, most, v)
-	}
+	strict.Within(c.File, key, v, least, most)
 }
 
 const (
@@ -221,10 +122,10 @@
 	within(c, "fleet.sockets", d.Fleet.Sockets, 64, 1<<16)
 	within(c, "fleet.shots", d.Fleet.Shots, 1, 16)
 	if d.Fleet.Mode != Aside && d.Fleet.Mode != Through {
-		c.bad("fleet.mode", "expected aside or through, got %q", d.Fleet.Mode)
+		c.Bad("fleet.mode", "expected aside or through, got %q", d.Fleet.Mode)
 	}
 	if len(d.Fleet.Zones) == 0 {
-		c.bad("fleet.zones", "expected at least one")
+		c.Bad("fleet.zones", "expected at least one")
 	}
 	zones := unique(c, "fleet.zones", d.Fleet.Zones)
 	c.nodes(zones)
@@ -249,10 +150,10 @@
 	seen := map[string]bool{}
 	for _, n := range names {
 		if n == "" || strings.ContainsAny(n, " ,=\r\n\t") {
-			c.bad(key, "expected a name without blanks, commas or =, got %q", n)
+			c.Bad(key, "expected a name without blanks, commas or =, got %q", n)
 		}
 		if seen[n] {
-			c.bad(key, "%q stands twice", n)
+			c.Bad(key, "%q stands twice", n)
 		}
 		seen[n] = true
 	}
@@ -265,14 +166,14 @@
 	for i := range d.Nodes {
 		g, at := &d.Nodes[i], fmt.Sprintf("node[%d].", i+1)
 		if g.Name == "" || strings.ContainsAny(g.Name, " ,=*") || names[g.Name] {
-			c.bad(at+"name", "expected a name of its own without blanks, got %q", g.Name)
+			c.Bad(at+"name", "expected a name of its own without blanks, got %q", g.Name)
 		}
 		names[g.Name] = true
 		if g.Zone == "" && len(d.Fleet.Zones) > 0 {
 			g.Zone = d.Fleet.Zones[0]
 		}
 		if !zones[g.Zone] {
-			c.bad(at+"zone", "no zone is called %q", g.Zone)
+			c.Bad(at+"zone", "no zone is called %q", g.Zone)
 		}
 		within(c, at+"count", g.Count, 1, mostNodes)
 		within(c, at+"cores", g.Cores, 1, 1024)
@@ -283,6 +184,7 @@
 		within(c, at+"connect_work", g.ConnectWork, 0, Span(time.Second))
 		within(c, at+"probe_work", g.ProbeWork, 0, Span(time.Second))
 		within(c, at+"idle", g.Idle, Span(100*time.Millisecond), mostLength)
+		within(c, at+"idle_told", g.IdleTold, 0, mostLength)
 		within(c, at+"cold_from", g.ColdFrom, 0.01, 1)
 		within(c, at+"warm_for", g.WarmFor, 0, mostLength)
 		if g.PauseEvery > 0 {
@@ -292,7 +194,7 @@
 		n += g.Count
 	}
 	if n > mostNodes {
-		c.bad("node", "expected at most %d nodes, got %d", mostNodes, n)
+		c.Bad("node", "expected at most %d nodes, got %d", mostNodes, n)
 	}
 }
 
@@ -322,7 +224,7 @@
 	within(c, "load.quota", d.Load.Quota, 0.01, 10)
 	within(c, "load.warm", d.Load.Warm, 0, 1)
 	if n := d.Load.PerS * d.Length.D().Seconds(); n > model.MostArrivals/4 {
-		c.bad("load.per_s", "%.0f API calls in %v are more than the kit plans (%d)", n, d.Length, model.MostArrivals/4)
+		c.Bad("load.per_s", "%.0f API calls in %v are more than the kit plans (%d)", n, d.Length, model.MostArrivals/4)
 	}
 	within(c, "client.tries", d.Clients.Tries, 0, 10)
 	within(c, "client.wait", d.Clients.Wait, Span(time.Millisecond), longest)
@@ -333,7 +235,7 @@
 	within(c, "client.give_up_at", g[0], 0.05, g[1])
 	within(c, "client.give_up_at", g[1], 0.05, 1)
 	if n := len(d.Clients.ZoneParts); n != 0 && n != len(d.Fleet.Zones) {
-		c.bad("client.zone_parts", "expected a part for each of the %d zones, got %d", len(d.Fleet.Zones), n)
+		c.Bad("client.zone_parts", "expected a part for each of the %d zones, got %d", len(d.Fleet.Zones), n)
 	}
 }
 
@@ -342,7 +244,7 @@
 	for i, p := range c.day.Products {
 		at := fmt.Sprintf("product[%d].", i+1)
 		if p.Name == "" || strings.ContainsAny(p.Name, " ,=") || names[p.Name] {
-			c.bad(at+"name", "expected a name of its own without blanks, got %q", p.Name)
+			c.Bad(at+"name", "expected a name of its own without blanks, got %q", p.Name)
 		}
 		names[p.Name] = true
 		within(c, at+"share", p.Share, 0.0001, 1e6)
@@ -350,24 +252,24 @@
 		within(c, at+"variation", p.Variation, 0.01, 10)
 		within(c, at+"latency_slo", p.LatencySLO, Span(time.Millisecond), longest)
 		if p.ClientTimeout < p.LatencySLO || p.ClientTimeout > longest {
-			c.bad(at+"client_timeout", "expected the latency SLO (%v) to %v, got %v", p.LatencySLO, longest, p.ClientTimeout)
+			c.Bad(at+"client_timeout", "expected the latency SLO (%v) to %v, got %v", p.LatencySLO, longest, p.ClientTimeout)
 		}
 		within(c, at+"billed_value", p.BilledValue, 0.0001, 1e9)
 		if p.Law != model.Exponential && p.Law != model.LogNormal && p.Law != model.Constant {
-			c.bad(at+"law", "expected exponential, lognormal or constant, got %q", p.Law)
+			c.Bad(at+"law", "expected exponential, lognormal or constant, got %q", p.Law)
 		}
 		switch p.Effect {
 		case Idempotent, NonIdempotent:
 			if p.Window != 0 {
-				c.bad(at+"window", "only a deduplicated product has one")
+				c.Bad(at+"window", "only a deduplicated product has one")
 			}
 		case Deduplicated:
 			within(c, at+"window", p.Window, Span(100*time.Millisecond), longest)
 		default:
-			c.bad(at+"effect", "expected idempotent, deduplicated or non-idempotent, got %q", p.Effect)
+			c.Bad(at+"effect", "expected idempotent, deduplicated or non-idempotent, got %q", p.Effect)
 		}
 		if p.Effect != Idempotent && !p.Write {
-			c.bad(at+"write", "a product that may not run again is a write")
+			c.Bad(at+"write", "a product that may not run again is a write")
 		}
 	}
 }
@@ -377,7 +279,7 @@
 	for i, t := range c.day.Tenants {
 		at := fmt.Sprintf("tenant[%d].", i+1)
 		if t.Name == "" || strings.ContainsAny(t.Name, " ,=") || names[t.Name] {
-			c.bad(at+"name", "expected a name of its own without blanks, got %q", t.Name)
+			c.Bad(at+"name", "expected a name of its own without blanks, got %q", t.Name)
 		}
 		names[t.Name] = true
 		within(c, at+"share", t.Share, 0.0001, 1)
@@ -390,24 +292,24 @@
 	f, at := &c.day.Faults[i], fmt.Sprintf("fault[%d].", i+1)
 	k, ok := kinds[f.Do]
 	if !ok {
-		c.bad(at+"do", "expected one of %s, got %q", strings.Join(Kinds(), ", "), f.Do)
+		c.Bad(at+"do", "expected one of %s, got %q", strings.Join(Kinds(), ", "), f.Do)
 		return
 	}
 	for _, key := range []string{"for", "nodes", "part", "by", "delay", "zone", "balancers", "tenant", "keys", "at_once", "drain",
 		"same_address", "count"} {
-		_, given := c.lines[at+key]
+		given := c.Given(at + key)
 		switch {
 		case slices.Contains(k.needs, key) && !given:
-			c.bad(at+key, "%s needs it", f.Do)
+			c.Bad(at+key, "%s needs it", f.Do)
 		case given && !slices.Contains(k.needs, key) && !slices.Contains(k.may, key):
-			c.bad(at+key, "%s has no such key", f.Do)
+			c.Bad(at+key, "%s has no such key", f.Do)
 		}
 	}
 	within(c, at+"at", f.At, 0, c.day.Length)
 	if f.For < 0 || f.At+f.For > c.day.Length {
-		c.bad(at+"for", "the fault would end at %v, after the day (%v)", f.At+f.For, c.day.Length)
+		c.Bad(at+"for", "the fault would end at %v, after the day (%v)", f.At+f.For, c.day.Length)
 	}
-	if _, given := c.lines[at+"part"]; given {
+	if c.Given(at + "part") {
 		within(c, at+"part", f.Part, 0.001, 1)
 	}
 	if slices.Contains(k.needs, "by") {
@@ -427,19 +329,19 @@
 		within(c, at+"drain", f.Drain, Span(100*time.Millisecond), longest)
 	}
 	if f.Zone != "" && !zones[f.Zone] {
-		c.bad(at+"zone", "no zone is called %q", f.Zone)
+		c.Bad(at+"zone", "no zone is called %q", f.Zone)
 	}
 	if f.Tenant != "" && !tenants[f.Tenant] {
-		c.bad(at+"tenant", "no tenant is called %q", f.Tenant)
+		c.Bad(at+"tenant", "no tenant is called %q", f.Tenant)
 	}
 	for _, n := range f.Nodes {
 		if !slices.ContainsFunc(ids, func(id string) bool { return matches(n, id) }) {
-			c.bad(at+"nodes", "no node is called %q", n)
+			c.Bad(at+"nodes", "no node is called %q", n)
 		}
 	}
 	for _, b := range f.Balancers {
 		if b < 1 || b > c.day.Fleet.Balancers {
-			c.bad(at+"balancers", "expected 1 to %d, got %d", c.day.Fleet.Balancers, b)
+			c.Bad(at+"balancers", "expected 1 to %d, got %d", c.day.Fleet.Balancers, b)
 		}
 	}
 }
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -9,28 +9,11 @@
 	"time"
 
 	"streamrail/internal/rehearsal/model"
+	"streamrail/internal/strict"
 )
 
 // Span is a length of time, written like 250ms.
-type Span time.Duration
-
-// UnmarshalText reads a span; a bare number has no unit and is refused.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("expected a time with its unit like 250ms, got %q", text)
-	}
-	*s = Span(d)
-	return nil
-}
-
-// MarshalText writes a span as it is read.
-func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
-
-// D is the span as a duration.
-func (s Span) D() time.Duration { return time.Duration(s) }
-
-func (s Span) String() string { return time.Duration(s).String() }
+type Span = strict.Span
 
 // Range is from a least to a most.
 type Range [2]Span
@@ -52,6 +35,8 @@
 	Tenants  []Tenant  `toml:"tenant"`
 	Rules    Rules     `toml:"rules"`
 	Faults   []Fault   `toml:"fault"`
+
+	Operator string `toml:"operator"` // the text of the operator's own file for the balancers
 }
 
 // Fleet is where things stand and what a balancer is given.
@@ -79,7 +64,8 @@
 	Connections  int     `toml:"connections"`
 	ConnectWork  Span    `toml:"connect_work"`
 	ProbeWork    Span    `toml:"probe_work"`
-	Idle         Span    `toml:"idle"`
+	Idle         Span    `toml:"idle"`      // it closes a connection that rests for so long
+	IdleTold     Span    `toml:"idle_told"` // what balancers are told of that; by default the truth
 	PauseEvery   Span    `toml:"pause_every"`
 	PauseFor     Span    `toml:"pause_for"`
 	ColdFrom     float64 `toml:"cold_from"`
@@ -311,6 +297,14 @@
 		PauseEvery: n.PauseEvery.D(), PauseFor: n.PauseFor.D(), DropsGivenUp: n.DropsGivenUp, MissPart: miss}
 }
 
+// Told is after what rest balancers are told that the node closes a connection.
+func (n *Node) Told() time.Duration {
+	if n.IdleTold > 0 {
+		return n.IdleTold.D()
+	}
+	return n.Idle.D()
+}
+
 // Capacity is how many API calls a second the nodes can do at the start.
 func (d *Day) Capacity() float64 {
 	work, shares, able := 0.0, 0.0, 0.0
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,7 +40,7 @@
 	hs.mu.Lock()
 	switch {
 	case err != nil && !c.closing:
-		hs.pool.Failed(c.id)
+		hs.pool.Failed(hs.now(), c.id)
 	case err == nil:
 		c.net, c.in = net, newReader(net)
 		if !c.closing {
