--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -23,6 +23,7 @@
 	Check    checkCommand    `cmd:"" help:"Check scenario files."`
 	Run      runCommand      `cmd:"" help:"Play one rehearsal and judge it."`
 	Simulate simulateCommand `cmd:"" help:"Play a rehearsal in virtual time, without sockets, on many seeds."`
+	Search   searchCommand   `cmd:"" help:"Draw days with faults of all kinds in virtual time; tell and shrink those that break a rule or serve least."`
 	Up       upCommand       `cmd:"" help:"Hold a fleet and its balancers up, for trying by hand."`
 	Suite    suiteCommand    `cmd:"" help:"Play all built-in rehearsals, side by side as cores allow."`
 	Measure  measureCommand  `cmd:"" help:"Measure how far the load generator goes here, and what a balancer adds to a call."`
--- /dev/null
+++ b/cmd/rehearse/search.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"streamrail/internal/rehearsal/judge"
+	"streamrail/internal/rehearsal/report"
+	"streamrail/internal/rehearsal/scenario"
+	"streamrail/internal/rehearsal/search"
+)
+
+type searchCommand struct {
+	Name      string `arg:"" help:"A built-in rehearsal or a scenario file, over which faults are drawn."`
+	Days      int    `default:"1000" help:"How many days are drawn."`
+	From      uint64 `default:"1" help:"The first seed; each day has the next."`
+	Balancers int    `help:"Another number of balancers than the file's."`
+	Worst     int    `default:"3" help:"How many of the days that served least are shrunk and told, besides those that broke a rule."`
+	Out       string `help:"A folder for the days that were found, as scenario files." type:"path" placeholder:"DIR"`
+}
+
+func (c searchCommand) Run() error {
+	base, err := scenario.Open(c.Name)
+	if err != nil {
+		return err
+	}
+	if c.Balancers != 0 {
+		base.Fleet.Balancers = c.Balancers
+	}
+	ctx, stop := signals()
+	defer stop()
+	began := time.Now()
+	res, err := search.Days(ctx, base, c.From, c.Days, runtime.GOMAXPROCS(0))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d days in virtual time from seed %d, %d without a broken rule, in %v\n", res.Played, c.From, res.Kept, time.Since(began).Round(time.Second))
+	for _, r := range judge.Rules {
+		fmt.Printf("  %-38s %9d checked\n", r.Rule, res.Checked[r.Rule])
+	}
+	for _, f := range append(res.Broken, res.Worst[:min(c.Worst, len(res.Worst))]...) {
+		small, err := search.Shrink(f)
+		if err != nil {
+			return err
+		}
+		if err := c.tell(f, small); err != nil {
+			return err
+		}
+	}
+	if res.Kept < res.Played {
+		return outcome(report.Broken)
+	}
+	return nil
+}
+
+// tell prints a day that was found, and lays it down.
+func (c searchCommand) tell(f, small search.Found) error {
+	fmt.Printf("\nseed %d: service %.3f", f.Day.Seed, f.Service)
+	for _, r := range f.Broken {
+		fmt.Printf(", broken: %s", r)
+	}
+	fmt.Printf("; shrunk to %d balancers, %v, service %.3f:\n", small.Day.Fleet.Balancers, small.Day.Length, small.Service)
+	for _, x := range small.Day.Faults {
+		fmt.Printf("  %s from %v for %v", x.Do, x.At, x.For)
+		if len(x.Nodes) > 0 {
+			fmt.Printf(" at %d nodes", len(x.Nodes))
+		}
+		fmt.Println()
+	}
+	if c.Out == "" {
+		return nil
+	}
+	text, err := small.Day.Text()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(c.Out, small.Day.Name+".toml"), text, 0o644)
+}
--- a/internal/rehearsal/runner/runner.go
+++ b/internal/rehearsal/runner/runner.go
@@ -290,6 +290,12 @@
 		case <-s.ctx.Done():
 			return
 		}
+		s.mu.Lock()
+		another := s.running[b].instance != in // that another fault has started by then
+		s.mu.Unlock()
+		if another {
+			return
+		}
 		if err := s.start(b); err != nil {
 			s.mu.Lock()
 			s.err = err
--- a/internal/rehearsal/runner/runner_test.go
+++ b/internal/rehearsal/runner/runner_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,6 +150,15 @@
 	}
 }
 
+// One of the two that flood a cold node, with its half of the calls, pushes nothing over: only together they do.
+func TestOneAlonePushesNothingOver(t *testing.T) {
+	t.Parallel()
+	half := strings.NewReplacer("balancers = 2", "balancers = 1", "per_s = 150.0", "per_s = 75.0").Replace(day)
+	if got := play(t, wrongly("flood"), half).Verdict.BrokenRules(); got != nil {
+		t.Errorf("broken: %q", got)
+	}
+}
+
 // Streamrail itself, as it is built, breaks no rule on a day that exercises them.
 func TestStreamrail(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "streamrail")
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -3,11 +3,16 @@
 package scenario
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"streamrail/internal/rehearsal/model"
 	"streamrail/internal/strict"
 )
@@ -20,7 +25,7 @@
 
 // Day is one rehearsal.
 type Day struct {
-	Name   string `toml:"name" comment:"how it is called"`
+	Name   string `toml:"name"`
 	About  string `toml:"about"`
 	Length Span   `toml:"length"`
 	Seed   uint64 `toml:"seed"`
@@ -34,7 +39,7 @@
 	Products []Product `toml:"product"`
 	Tenants  []Tenant  `toml:"tenant"`
 	Rules    Rules     `toml:"rules"`
-	Faults   []Fault   `toml:"fault"`
+	Faults   []Fault   `toml:"fault,omitempty"`
 
 	Operator string `toml:"operator"` // the text of the operator's own file for the balancers
 }
@@ -372,3 +377,58 @@
 
 // ErrFaulty is in all errors about a file's content.
 var ErrFaulty = errors.New("faulty scenario")
+
+// Text writes the day as a file that reads as the same day.
+func (d *Day) Text() ([]byte, error) {
+	plain := *d
+	plain.Faults = nil
+	var out bytes.Buffer
+	if err := toml.NewEncoder(&out).Encode(plain); err != nil {
+		return nil, err
+	}
+	for i := range d.Faults {
+		f := &d.Faults[i]
+		fmt.Fprintf(&out, "\n[[fault]]\ndo = %q\nat = %q\n", f.Do, f.At)
+		k := kinds[f.Do]
+		for _, key := range append(slices.Clone(k.needs), k.may...) {
+			if line := f.line(key); line != "" {
+				out.WriteString(line + "\n")
+			}
+		}
+	}
+	return out.Bytes(), nil
+}
+
+// line writes one key of a fault; "" where it says nothing.
+func (f *Fault) line(key string) string {
+	quoted := func(v Span) string { return fmt.Sprintf("%s = %q", key, v) }
+	switch {
+	case key == "for":
+		return quoted(f.For)
+	case key == "delay" && f.Delay != 0:
+		return quoted(f.Delay)
+	case key == "drain" && f.Drain != 0:
+		return quoted(f.Drain)
+	case key == "nodes" && len(f.Nodes) > 0:
+		return fmt.Sprintf("nodes = [\"%s\"]", strings.Join(f.Nodes, "\", \""))
+	case key == "part" && f.Part != 0:
+		return fmt.Sprintf("part = %v", f.Part)
+	case key == "by" && f.By != 0:
+		return "by = " + strconv.FormatFloat(f.By, 'f', -1, 64)
+	case key == "zone" && f.Zone != "":
+		return fmt.Sprintf("zone = %q", f.Zone)
+	case key == "tenant" && f.Tenant != "":
+		return fmt.Sprintf("tenant = %q", f.Tenant)
+	case key == "balancers" && len(f.Balancers) > 0:
+		return "balancers = " + strings.Join(strings.Fields(fmt.Sprint(f.Balancers)), ", ")
+	case key == "keys" && f.Keys != 0:
+		return fmt.Sprintf("keys = %d", f.Keys)
+	case key == "at_once" && f.AtOnce != 0:
+		return fmt.Sprintf("at_once = %d", f.AtOnce)
+	case key == "same_address" && f.Same:
+		return "same_address = true"
+	case key == "count" && f.Count != 0:
+		return fmt.Sprintf("count = %d", f.Count)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/rehearsal/search/search_test.go
@@ -0,0 +1,85 @@
+package search
+
+import (
+	"context"
+	"testing"
+
+	"streamrail/internal/rehearsal/scenario"
+)
+
+const small = `
+length = "8s"
+[fleet]
+zones = ["east", "west"]
+balancers = 3
+[[node]]
+name = "e"
+zone = "east"
+count = 2
+warm_for = "5s"
+[[node]]
+name = "w"
+zone = "west"
+count = 2
+warm_for = "5s"
+[load]
+per_s = 60.0
+keys = 300
+`
+
+func base(t *testing.T) *scenario.Day {
+	t.Helper()
+	d, err := scenario.Parse("small", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// A fixed set of drawn days breaks no rule, and is the same whatever the number of lanes; each can be written as a file
+// that is sound and plays the same day.
+func TestDays(t *testing.T) {
+	a, err := Days(context.Background(), base(t), 1, 150, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ := Days(context.Background(), base(t), 1, 150, 2)
+	if a.Played != 150 || b.Played != 150 || a.Worst[0].Service != b.Worst[0].Service || a.Worst[9].Day.Seed != b.Worst[9].Day.Seed {
+		t.Errorf("%d and %d days, worst %v and %v", a.Played, b.Played, a.Worst[0].Service, b.Worst[0].Service)
+	}
+	for _, f := range a.Broken {
+		t.Errorf("seed %d: broken %q", f.Day.Seed, f.Broken)
+	}
+	text, err := a.Worst[0].Day.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := scenario.Parse("found.toml", text)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	if f, _, err := playOne(d); err != nil || f.Service != a.Worst[0].Service {
+		t.Errorf("read back: service %v, expected %v; %v", f.Service, a.Worst[0].Service, err)
+	}
+}
+
+// What is shrunk shows the same and has nothing left that it does not need.
+func TestShrink(t *testing.T) {
+	d := base(t)
+	d.Faults = []scenario.Fault{
+		{Do: "hot", At: scenario.Span(1e9), For: scenario.Span(1e9), Part: 0.1, Keys: 3},
+		{Do: "vanish", At: scenario.Span(2e9), For: scenario.Span(5e9), Nodes: []string{"*"}},
+		{Do: "register-silent", At: scenario.Span(1e9), For: scenario.Span(1e9), Balancers: []int{1}},
+	}
+	f, _, err := playOne(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Shrink(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Day.Faults) != 1 || got.Day.Faults[0].Do != "vanish" || got.Day.Fleet.Balancers != 1 {
+		t.Errorf("%d faults, %d balancers are left: %+v", len(got.Day.Faults), got.Day.Fleet.Balancers, got.Day.Faults)
+	}
+}
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -65,6 +65,9 @@
 const wayBack = 3 * time.Millisecond
 
 func (b *balancer) start() {
+	if b.mod != nil {
+		return // another fault has started it already
+	}
 	b.lives++
 	b.calls, b.up, b.after = map[policy.CallID]*call{}, map[string]bool{}, 0
 	b.life = record.Life{Balancer: b.index, Start: b.d.now, Ready: max(1, b.d.now)}
@@ -274,15 +277,19 @@
 
 // way is how long bytes take one way between a shot's balancer and its server.
 func (s *shot) way() time.Duration {
-	d := s.b.d
 	if s.to == nil {
-		return d.Fleet.Same.D()
+		return s.usual()
 	}
-	more := s.to.links[s.b.index].more
-	if s.to.group.Zone == d.Fleet.Zones[s.b.zone] {
-		return d.Fleet.Same.D() + more
+	return s.usual() + s.to.links[s.b.index].more
+}
+
+// usual is the way without what a fault adds to it.
+func (s *shot) usual() time.Duration {
+	d := s.b.d
+	if s.to == nil || s.to.group.Zone == d.Fleet.Zones[s.b.zone] {
+		return d.Fleet.Same.D()
 	}
-	return d.Fleet.Cross.D() + more
+	return d.Fleet.Cross.D()
 }
 
 // server is the name of a shot's server.
@@ -293,22 +300,22 @@
 	return s.to.id
 }
 
-// refused is a connection that nobody takes.
+// refused is a connection that nobody takes. It is noted as a shot: the balancer meant it as one.
 func (s *shot) refused() {
-	s.came, s.swallowed = 0, true // it never was a shot to anybody
-	s.b.d.after(s.way(), func() { s.end(policy.ConnectFailed, 0) })
+	s.ended, s.proof = s.b.d.now+s.usual(), record.NeverRan
+	s.b.d.after(s.usual(), func() { s.end(policy.ConnectFailed, 0) })
 }
 
 // answer sends a server's answer on its way.
 func (s *shot) answer(o policy.Outcome, note int) {
 	d := s.b.d
+	if s.to != nil && s.to.links[s.b.index].cut {
+		return // lost on the way: for the balancer it is still out
+	}
 	if s.ended == 0 {
-		s.ended, s.whole = d.now, o != policy.Reset && o != policy.Spoilt
+		s.ended, s.whole = d.now+s.way(), o != policy.Reset && o != policy.Spoilt
 		s.proof = proofs[o]
 	}
-	if s.to != nil && s.to.links[s.b.index].cut {
-		return
-	}
 	if d.Fleet.Mode != scenario.Through {
 		note = 0
 	}
@@ -323,9 +330,12 @@
 		return
 	}
 	d := s.b.d
+	if s.ended == 0 || s.ended > d.now { // an answer that is still on its way proves nothing to who does not wait for it
+		// As on sockets, where the end of a connection is noted as it is made, however long its way.
+		s.ended, s.whole, s.proof = d.now, false, record.Nothing
+	}
 	d.after(s.way(), func() {
-		if s.ended == 0 {
-			s.ended = d.now
+		if !s.whole {
 			if s.to != nil && s.to.m != nil && s.to.m.GiveUp(s.call.id) {
 				s.to.leaves(s)
 			} else if s.to == nil {
--- a/internal/rehearsal/virtual/day.go
+++ b/internal/rehearsal/virtual/day.go
@@ -240,13 +240,10 @@
 	}
 	d.rec.Strain(record.Gateway, d.gateway.m.Strain())
 	for _, s := range d.shots {
-		if s.came == 0 && !s.swallowed {
-			continue // given up on the way
-		}
 		if s.came == 0 {
-			continue // its connection was refused: no server saw it
+			continue // given up on the way: no server saw it
 		}
-		r := record.Shot{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.came, Ended: s.ended, Proof: s.proof,
+		r := record.Shot{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.sent, Ended: s.ended, Proof: s.proof,
 			Answered: s.whole, Ran: s.ran, Cold: s.cold, Work: s.work, Write: s.call.write, Swallowed: s.swallowed}
 		d.rec.Shots = append(d.rec.Shots, r)
 	}
--- a/internal/rehearsal/virtual/faults.go
+++ b/internal/rehearsal/virtual/faults.go
@@ -97,7 +97,15 @@
 	case "balancer-restart":
 		for _, b := range d.HitBalancers(i) {
 			d.at(from, func() { d.balancers[b].unnoticed(leavesIn) })
-			d.at(from+restartAfter, func() { d.balancers[b].stop(); d.balancers[b].start() })
+			d.at(from, func() {
+				lives := d.balancers[b].lives
+				d.after(restartAfter, func() {
+					if d.balancers[b].lives == lives && d.balancers[b].mod != nil { // else another fault has ended it by then
+						d.balancers[b].stop()
+						d.balancers[b].start()
+					}
+				})
+			})
 		}
 	case "reload", "rude": // of sockets alone
 		return
