--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -115,6 +115,36 @@
 	return d, nil
 }
 
+// prepare finds the balancer and reads a rehearsal.
+func (p *play) prepare(name string) (program string, d *scenario.Day, err error) {
+	if program, err = p.program(); err == nil {
+		d, err = p.open(name)
+	}
+	return program, d, err
+}
+
+// sideBySide does n things on so many lanes and joins their errors.
+func sideBySide(n, lanes int, do func(i int) error) error {
+	errs := make([]error, n)
+	next := make(chan int, n)
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	var group sync.WaitGroup
+	for range min(n, lanes) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := range next {
+				errs[i] = do(i)
+			}
+		}()
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
 // folder is where a rehearsal's files go, and what removes them where nobody asked for them.
 func (p *play) folder(name string) (dir string, done func(), err error) {
 	if p.Out != "" {
@@ -158,11 +188,7 @@
 }
 
 func (c runCommand) Run() error {
-	program, err := c.program()
-	if err != nil {
-		return err
-	}
-	d, err := c.open(c.Name)
+	program, d, err := c.prepare(c.Name)
 	if err != nil {
 		return err
 	}
@@ -222,11 +248,7 @@
 }
 
 func (c upCommand) Run() error {
-	program, err := c.program()
-	if err != nil {
-		return err
-	}
-	d, err := c.open(c.Name)
+	program, d, err := c.prepare(c.Name)
 	if err != nil {
 		return err
 	}
@@ -365,31 +387,12 @@
 	}
 	end := time.Now().Add(c.Budget)
 	played := make([]*report.Report, len(days))
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	next := make(chan int, len(days))
-	for i := range days {
-		next <- i
-	}
-	close(next)
-	for range lanes {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for i := range next {
-				if time.Now().Add(days[i].Length.D()).After(end) {
-					continue
-				}
-				r, e := c.one(ctx, days[i], program, nil)
-				mu.Lock()
-				if played[i] = r; e != nil {
-					err = errors.Join(err, e)
-				}
-				mu.Unlock()
-			}
-		}()
-	}
-	group.Wait()
+	err = sideBySide(len(days), lanes, func(i int) (err error) {
+		if !time.Now().Add(days[i].Length.D()).After(end) {
+			played[i], err = c.one(ctx, days[i], program, nil)
+		}
+		return err
+	})
 	for _, r := range played {
 		if r != nil {
 			reports = append(reports, r)
--- a/cmd/rehearse/simulate.go
+++ b/cmd/rehearse/simulate.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 
 	"streamrail/internal/rehearsal/report"
 	"streamrail/internal/rehearsal/scenario"
@@ -66,28 +64,10 @@
 		trace = w
 	}
 	reports := make([]*report.Report, len(list))
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	next := make(chan int, len(list))
-	for i := range list {
-		next <- i
-	}
-	close(next)
-	for range min(len(list), runtime.GOMAXPROCS(0)) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for i := range next {
-				r, e := c.one(list[i], trace)
-				mu.Lock()
-				if reports[i] = r; e != nil {
-					err = errors.Join(err, e)
-				}
-				mu.Unlock()
-			}
-		}()
-	}
-	group.Wait()
+	err = sideBySide(len(list), runtime.GOMAXPROCS(0), func(i int) (err error) {
+		reports[i], err = c.one(list[i], trace)
+		return err
+	})
 	if err != nil {
 		return err
 	}
