Step both stand-ins' models by one player; drop fields of the kit that nothing reads

Read again, no change of behaviour. Node and gateway each had a loop and a kick of their own that wake a model when it is due; one player serves both. World.groups, the judge's Length, a call's FirstOther and a node's Busy were written or offered and read by nobody. Tests of the stand-ins, the judge and the runner pass with the race detector, their assertions as they were (34 s).

--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -39,7 +39,6 @@
 	Prompt     time.Duration // in which what is given up is answered, besides Slack
 	ColdBlame  float64       // share of misses at cold nodes from which a stopped gateway is a breach
 	FallFor    time.Duration
-	Length     time.Duration
 	Connect    time.Duration // that a connection which does not come up may take
 }
 
--- a/internal/rehearsal/judge/judge_test.go
+++ b/internal/rehearsal/judge/judge_test.go
@@ -12,7 +12,7 @@
 func terms() Terms {
 	return Terms{Products: []Product{{Name: "read"}, {Name: "pay", Effect: NonIdempotent, Write: true},
 		{Name: "once", Effect: Deduplicated, Window: 2000 * ms, Write: true}}, Shots: 4, DrainGrace: 1000 * ms, Slack: 50 * ms,
-		Prompt: 300 * ms, ColdBlame: 0.3, FallFor: 2000 * ms, Length: 30000 * ms, Connect: 200 * ms}
+		Prompt: 300 * ms, ColdBlame: 0.3, FallFor: 2000 * ms, Connect: 200 * ms}
 }
 
 func call(product int, sent, timeout, answered time.Duration, reply record.Reply) record.Call {
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -26,24 +26,23 @@
 
 // Call is one try of a client.
 type Call struct {
-	ID, Base   string // Base: the first try's id
-	Try        int    // 1 for the first
-	Tenant     int
-	Product    int
-	Key, Mark  string
-	Once       bool // nobody else wants its key
-	Balancer   int
-	Due        time.Duration // it was to be sent
-	Sent       time.Duration // its last byte was written
-	Timeout    time.Duration // its client leaves then
-	Answered   time.Duration // the last byte of its final answer; 0: none
-	Reply      Reply
-	ComeBack   time.Duration // that came with a rate-limited answer
-	Extra      int           // further answers after the final one
-	Excused    bool          // the balancer was killed, or ended in order, with it in hand
-	Crossed    int           // times that it met a connection which the balancer had closed while it rested
-	NotTaken   bool          // no balancer took it: no connection came up
-	FirstOther bool          // its balancer is in another zone than its client
+	ID, Base  string // Base: the first try's id
+	Try       int    // 1 for the first
+	Tenant    int
+	Product   int
+	Key, Mark string
+	Once      bool // nobody else wants its key
+	Balancer  int
+	Due       time.Duration // it was to be sent
+	Sent      time.Duration // its last byte was written
+	Timeout   time.Duration // its client leaves then
+	Answered  time.Duration // the last byte of its final answer; 0: none
+	Reply     Reply
+	ComeBack  time.Duration // that came with a rate-limited answer
+	Extra     int           // further answers after the final one
+	Excused   bool          // the balancer was killed, or ended in order, with it in hand
+	Crossed   int           // times that it met a connection which the balancer had closed while it rested
+	NotTaken  bool          // no balancer took it: no connection came up
 }
 
 // Proof is what an answer to a shot proves.
--- a/internal/rehearsal/runner/runner.go
+++ b/internal/rehearsal/runner/runner.go
@@ -381,7 +381,7 @@
 // Terms are what the judge holds the day to.
 func Terms(d *scenario.Day) judge.Terms {
 	t := judge.Terms{Shots: d.Fleet.Shots, DrainGrace: d.Rules.DrainGrace.D(), Slack: d.Rules.Slack.D(), Prompt: d.Rules.Prompt.D(),
-		ColdBlame: d.Rules.ColdBlame, FallFor: d.Rules.FallFor.D(), Length: d.Length.D(), Connect: connectTimeout}
+		ColdBlame: d.Rules.ColdBlame, FallFor: d.Rules.FallFor.D(), Connect: connectTimeout}
 	kinds := map[string]judge.Effect{scenario.Idempotent: judge.Idempotent, scenario.Deduplicated: judge.Deduplicated,
 		scenario.NonIdempotent: judge.NonIdempotent}
 	for _, p := range d.Products {
--- a/internal/rehearsal/standin/echo.go
+++ b/internal/rehearsal/standin/echo.go
@@ -14,7 +14,7 @@
 // AddEcho makes a node that answers each read at once with a value, and neither models nor notes anything: it costs as
 // little as a node can, so that what is measured is the balancer.
 func (w *World) AddEcho(id string, g *scenario.Node) (*Node, error) {
-	n := &Node{w: w, ID: id, Zone: g.Zone, Group: g, kick: make(chan struct{}, 1)}
+	n := &Node{w: w, ID: id, Zone: g.Zone, Group: g, player: newPlayer()}
 	for b := range w.Day.Fleet.Balancers {
 		l := &link{balancer: b, node: id, serve: func(_ *link, c *net.TCPConn) { echo(c, w.Day.Load.ValueSize) }}
 		n.links = append(n.links, l)
--- a/internal/rehearsal/standin/gateway.go
+++ b/internal/rehearsal/standin/gateway.go
@@ -19,7 +19,7 @@
 type Gateway struct {
 	w     *World
 	addrs []string // by balancer
-	kick  chan struct{}
+	player
 
 	mu     sync.Mutex
 	m      *model.Gateway
@@ -38,7 +38,7 @@
 
 // AddGateway makes the gateway and a listener for each balancer.
 func (w *World) AddGateway() error {
-	g := &Gateway{w: w, kick: make(chan struct{}, 1), m: model.NewGateway(w.Day.GatewayTerms(), 0),
+	g := &Gateway{w: w, player: newPlayer(), m: model.NewGateway(w.Day.GatewayTerms(), 0),
 		chance: model.Stream(w.Day.Seed, "faults gateway")}
 	for b := range w.Day.Fleet.Balancers {
 		l, err := w.Listen()
@@ -58,7 +58,7 @@
 		go server.Serve(l)
 	}
 	w.Gateway = g
-	go g.play()
+	go g.play(g.step)
 	return nil
 }
 
@@ -95,13 +95,6 @@
 	return g.reset > 0 && g.chance.Float64() < g.reset, g.fail > 0 && g.chance.Float64() < g.fail
 }
 
-func (g *Gateway) wake() {
-	select {
-	case g.kick <- struct{}{}:
-	default:
-	}
-}
-
 // take sends a job to the model; done hears what came of it, outside of the gateway's lock.
 func (g *Gateway) take(j model.Job, done func(result)) {
 	j.Work = model.Work(g.w.Day.Seed, "gateway "+j.ID, model.Exponential, g.w.Day.Gateway.Time.D(), 1)
@@ -118,19 +111,12 @@
 	g.wake()
 }
 
-func (g *Gateway) play() {
-	t := time.NewTimer(time.Hour)
-	for {
-		g.mu.Lock()
-		g.advance(g.w.Now())
-		wait := min(time.Hour, max(0, g.m.Due()-g.w.Now()))
-		g.mu.Unlock()
-		t.Reset(wait)
-		select {
-		case <-t.C:
-		case <-g.kick:
-		}
-	}
+// step plays the model up to now and tells how long nothing is due.
+func (g *Gateway) step() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(g.w.Now())
+	return min(time.Hour, max(0, g.m.Due()-g.w.Now()))
 }
 
 // advance plays the model up to a moment. What is done is handed on outside of the lock, which the caller holds.
--- a/internal/rehearsal/standin/node.go
+++ b/internal/rehearsal/standin/node.go
@@ -18,7 +18,7 @@
 	Zone  string
 	Group *scenario.Node
 	links []*link
-	kick  chan struct{}
+	player
 
 	mu     sync.Mutex
 	m      *model.Node // nil while it is down
@@ -36,7 +36,7 @@
 // AddNode makes a node and opens its links, at the addresses of one that has ended if that is given. A node that is not
 // cold has been up for long.
 func (w *World) AddNode(id string, g *scenario.Node, cold bool, old *Node) (*Node, error) {
-	n := &Node{w: w, ID: id, Zone: g.Zone, Group: g, kick: make(chan struct{}, 1), chance: model.Stream(w.Day.Seed, "faults "+id)}
+	n := &Node{w: w, ID: id, Zone: g.Zone, Group: g, player: newPlayer(), chance: model.Stream(w.Day.Seed, "faults "+id)}
 	for b := range w.Day.Fleet.Balancers {
 		l := &link{balancer: b, node: id, delay: w.way(b, g.Zone), serve: n.serve}
 		if old != nil {
@@ -45,9 +45,9 @@
 		n.links = append(n.links, l)
 	}
 	w.mu.Lock()
-	w.nodes[id], w.groups[id] = n, g
+	w.nodes[id] = n
 	w.mu.Unlock()
-	go n.play()
+	go n.play(n.step)
 	return n, n.Start(cold)
 }
 
@@ -159,13 +159,6 @@
 	n.wake()
 }
 
-func (n *Node) wake() {
-	select {
-	case n.kick <- struct{}{}:
-	default:
-	}
-}
-
 func (n *Node) keep(key string, version uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -185,35 +178,15 @@
 // Keep stores a value before the day begins.
 func (n *Node) Keep(key string) { n.keep(key, 0) }
 
-// Busy is the core time that the node has spent.
-func (n *Node) Busy() time.Duration {
+// step plays the model up to now and tells how long nothing is due.
+func (n *Node) step() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.m == nil {
-		return 0
-	}
-	return n.m.Busy()
-}
-
-// play wakes the model when something in it is due. It goes on for as long as the program: there are few nodes.
-func (n *Node) play() {
-	t := time.NewTimer(time.Hour)
-	for {
-		n.mu.Lock()
-		wait := time.Hour
-		if n.m != nil {
-			n.advance(n.w.Now())
-			if due := n.m.Due(); due < n.w.Now()+time.Hour {
-				wait = max(0, due-n.w.Now())
-			}
-		}
-		n.mu.Unlock()
-		t.Reset(wait)
-		select {
-		case <-t.C:
-		case <-n.kick:
-		}
+		return time.Hour
 	}
+	n.advance(n.w.Now())
+	return min(time.Hour, max(0, n.m.Due()-n.w.Now()))
 }
 
 // advance plays the model up to a moment and ends what is done. Under n.mu.
--- a/internal/rehearsal/standin/world.go
+++ b/internal/rehearsal/standin/world.go
@@ -31,7 +31,6 @@
 	calls  map[string]Want    // by id
 	open   bool               // anybody may ask for anything
 	missed map[string][]*Node // by id of the call: nodes that lacked its key
-	groups map[string]*scenario.Node
 }
 
 // Want is what a client asked for, as far as servers check it.
@@ -47,7 +46,7 @@
 // NewWorld makes the world of a day without anything in it. The day begins with Begin.
 func NewWorld(day *scenario.Day, rec *record.Record) *World {
 	return &World{Day: day, Rec: rec, net: byte(100 + os.Getpid()%100), nodes: map[string]*Node{},
-		calls: map[string]Want{}, missed: map[string][]*Node{}, groups: map[string]*scenario.Node{}}
+		calls: map[string]Want{}, missed: map[string][]*Node{}}
 }
 
 // Begin makes this moment the day's begin. Until then no time passes for what is up.
@@ -71,6 +70,31 @@
 // Unix is a moment of the day as the machines' clocks tell it, in milliseconds.
 func (w *World) Unix(at time.Duration) int64 { return w.base.Load().Add(at).UnixMilli() }
 
+// player wakes a stand-in's model when something in it is due, or when it is told that this has changed.
+type player chan struct{}
+
+func newPlayer() player { return make(player, 1) }
+
+func (p player) wake() {
+	select {
+	case p <- struct{}{}:
+	default:
+	}
+}
+
+// play steps the model, which tells how long to wait for the next step. It goes on for as long as the program: there
+// are few stand-ins.
+func (p player) play(step func() (wait time.Duration)) {
+	t := time.NewTimer(time.Hour)
+	for {
+		t.Reset(step())
+		select {
+		case <-t.C:
+		case <-p:
+		}
+	}
+}
+
 // Late notes that the kit did something later than was due.
 func (w *World) Late(due, now time.Duration) {
 	if by := now - due; by > lateLeast && now > 0 {
