--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -13,15 +13,19 @@
 
 // restore takes the list as this balancer had it before its start.
 func (b *Balancer) restore() {
-	if len(b.told.Known) == 0 || string(b.told.Known) == "null" {
-		return
-	}
-	l, err := b.names().Parse(b.told.Known)
-	if err != nil {
-		b.log.Warn().Err(err).Str("key", "known").Msg("the list last known is not readable, left out")
-		return
+	var l discovery.List
+	if len(b.told.Known) > 0 && string(b.told.Known) != "null" {
+		var err error
+		if l, err = b.names().Parse(b.told.Known); err != nil {
+			b.log.Warn().Err(err).Str("key", "known").Msg("the list last known is not readable, left out")
+			l = discovery.List{}
+		}
 	}
 	b.listed(policy.ListRestored, l)
+	if len(l.Hosts) > 0 && b.told.Terms.MustSubscribe { // each call loads discovery: only what changed since is asked for
+		b.source.known = &l.Generation
+		b.source.once.Do(func() { close(b.source.first) }) // the module asks when it sees fit
+	}
 }
 
 var conditionNames = [...]string{"up", "draining", "gone"}
@@ -45,6 +49,7 @@
 	stop  context.CancelFunc // ends the watch there; nil before the first
 	first chan struct{}      // closed once there is a list
 	once  sync.Once
+	known *int64 // version of the list from before the start, where the watch goes on from it
 }
 
 func (b *Balancer) names() discovery.Names {
@@ -62,7 +67,12 @@
 	}
 	ctx, stop := context.WithCancel(b.running)
 	b.source.stop = stop
-	go b.follow(ctx, &discovery.Watch{Addr: b.source.addr, Names: b.names()}, subscribed)
+	watch := &discovery.Watch{Addr: b.source.addr, Names: b.names()}
+	if b.source.known != nil {
+		watch.From(*b.source.known)
+		b.source.known = nil // of the first address only
+	}
+	go b.follow(ctx, watch, subscribed)
 }
 
 // Reload takes a configuration that was read and checked while the balancer runs: it follows the list where
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -98,16 +98,27 @@
 	begun bool
 }
 
-// Next waits for the next answer; it may bring no hosts. After an error the next call starts over with the
-// whole list.
+// From has the watch ask for what changed after a list that is known already.
+func (w *Watch) From(generation int64) { w.begun, w.after = true, generation }
+
+// unusable is an answer that came and cannot be taken.
+type unusable struct{ error }
+
+func (u unusable) Unwrap() error { return u.error }
+
+// Next waits for the next answer; it may bring no hosts. After an answer that cannot be taken the next call starts
+// over with the whole list. After a call that failed it does not: the list at hand is as good as it was, and whole
+// lists for all, asked for again and again, are what keeps a discovery that was busy for a moment busy for good.
 func (w *Watch) Next(ctx context.Context) (List, error) {
 	l, err := w.ask(ctx)
 	if err != nil {
 		w.Close()
-		w.begun = false
+		if errors.As(err, &unusable{}) {
+			w.begun = false
+		}
 		return List{}, err
 	}
-	w.begun, w.after = true, l.Generation
+	w.From(l.Generation)
 	return l, nil
 }
 
@@ -142,14 +153,21 @@
 	if err != nil {
 		return l, err
 	}
+	if r.Status/100 == 4 { // it does not know the version, say
+		return l, unusable{fmt.Errorf("status %d", r.Status)}
+	}
 	if r.Status != 200 {
 		return l, fmt.Errorf("status %d", r.Status)
 	}
 	if l, err = w.Names.Parse(r.Body); err != nil {
-		return l, err
+		return l, unusable{err}
 	}
-	if !w.begun && !l.Whole {
-		return l, errors.New("changes where the whole list was asked for")
+	switch {
+	case l.Whole:
+	case !w.begun:
+		return l, unusable{errors.New("changes where the whole list was asked for")}
+	case l.Generation < w.after: // another discovery, or one that has lost its past
+		return l, unusable{fmt.Errorf("changes of version %d after version %d", l.Generation, w.after)}
 	}
 	if r.Close {
 		w.Close()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,9 +26,6 @@
 		b.topValue = max(b.topValue, p.BilledValue)
 		b.tempos[2*i].width, b.tempos[2*i+1].width = calmSlot, calmSlot
 	}
-	if terms.MustSubscribe {
-		host.Subscribe()
-	}
 	host.Wake(beatEvery, "beat")
 	return b
 }
@@ -788,9 +785,12 @@
 
 // Listed takes what discovery tells.
 func (b *Balancer) Listed(kind ListKind, entries []Entry) {
-	if kind == ListUnavailable {
+	switch kind {
+	case ListUnavailable:
 		b.followAgain()
 		return
+	case ListRestored:
+		b.followFirst(len(entries) > 0)
 	}
 	b.backoff = 0
 	named := map[CacheID]bool{}
@@ -824,14 +824,30 @@
 	}
 }
 
-// followAgain tries again to follow the list: waits grow and are jittered, lest all balancers call together.
+// followFirst asks for the list at a start. With one from before it can wait: a release starts most balancers at
+// once, and all their calls together held discovery up for so long that none was answered in time. At any size it
+// takes a call from each in AskEvery, the time from which one who never asks counts as told; half of that is used.
+func (b *Balancer) followFirst(known bool) {
+	if !b.terms.MustSubscribe {
+		return
+	}
+	wait := Nanos(0)
+	if known {
+		wait = Nanos(float64(b.terms.AskEvery) / 2 * b.chance())
+	}
+	b.retrying = true
+	b.host.Wake(wait, "list")
+}
+
+// followAgain tries again to follow the list, at some moment in half of AskEvery, after a further failure in all of
+// it: after 250 ms, doubled to a quarter of AskEvery, failed calls alone kept discovery from answering any.
 func (b *Balancer) followAgain() {
 	if !b.terms.MustSubscribe || b.retrying {
 		return
 	}
 	b.retrying = true
-	b.backoff = min(max(250*Millisecond, 2*b.backoff), max(b.terms.AskEvery/4, 250*Millisecond))
-	b.host.Wake(Nanos(float64(b.backoff)*(0.5+b.chance()/2)), "list")
+	b.backoff = min(max(b.terms.AskEvery/2, 2*b.backoff), b.terms.AskEvery)
+	b.host.Wake(Nanos(float64(b.backoff)*b.chance()), "list")
 }
 
 // unitOf fixes once what a listed size counts for: units of a power of two, and by kind where sizes follow
