--- a/policy/policy.go
+++ b/policy/policy.go
@@ -488,8 +488,8 @@
 
 // coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, and under it a
 // budget: this balancer's part of what would push it over. A part smaller than one is drawn and spent either
-// way: a least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window bears:
-// who asks once in seconds had at a quarter of that a small chance each time, and cold hosts stood idle.
+// way: a least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window
+// bears: who asks once in seconds had at a quarter of that a small chance each time, and cold hosts stood idle.
 func (b *Balancer) coldMayTake(h *cache, c *call) bool {
 	w := b.warmth(h)
 	if w == 1 {
@@ -825,9 +825,10 @@
 	}
 }
 
-// followFirst asks for the list at a start. With one from before it can wait: a release starts most balancers at
-// once, and all their calls together held discovery up for so long that none was answered in time. At any size it
-// takes a call from each in AskEvery, the time from which one who never asks counts as told; half of that is used.
+// followFirst asks for the list at a start. With one from before it can wait: a release starts most balancers
+// at once, and all their calls together held discovery up for so long that none was answered in time. At any
+// size it takes a call from each in AskEvery, the time from which one who never asks counts as told; half of
+// that is used.
 func (b *Balancer) followFirst(known bool) {
 	if !b.terms.MustSubscribe {
 		return
@@ -840,8 +841,8 @@
 	b.host.Wake(wait, "list")
 }
 
-// followAgain tries again to follow the list, at some moment in half of AskEvery, after a further failure in all of
-// it: after 250 ms, doubled to a quarter of AskEvery, failed calls alone kept discovery from answering any.
+// followAgain tries again to follow the list, at some moment in half of AskEvery, after a further failure in
+// all of it: after 250 ms, doubled to a quarter of AskEvery, failed calls alone kept discovery from answering any.
 func (b *Balancer) followAgain() {
 	if !b.terms.MustSubscribe || b.retrying {
 		return
