--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,7 @@
 
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, caches: map[CacheID]*cache{},
+	b := &Balancer{host: host, terms: terms, seed: seed, began: host.Now(), caches: map[CacheID]*cache{},
 		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
@@ -261,6 +261,7 @@
 	switch id {
 	case "beat":
 		b.host.Wake(beatEvery, "beat")
+		b.weigh()
 		if slot := int(b.host.Now() / keySlot % keySlots); slot != b.table.slot {
 			b.rotate(slot)
 		}
@@ -330,6 +331,7 @@
 	b.ring.follow(b.byID, func(h *cache) int {
 		return min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
 	})
+	b.weigh()
 }
 
 // path is the order in which caches are asked: a read's nearest copy first, then home and successors.
@@ -489,7 +491,7 @@
 // coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, and under it a
 // budget: this balancer's part of what would push it over. A part smaller than one is drawn and spent either
 // way: a least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window
-// bears: who asks once in seconds had at a quarter of that a small chance each time, and cold hosts stood idle.
+// bears: who asks once in seconds had a small chance each time at a quarter of it, and cold hosts stood idle.
 func (b *Balancer) coldMayTake(h *cache, c *call) bool {
 	w := b.warmth(h)
 	if w == 1 {
@@ -509,18 +511,26 @@
 // coldSafety halves the guess: API calls differ in work, and warm hosts may have done more than their share.
 const coldSafety = 0.5
 
-// coldRate guesses what a cold host may get, from what the fleet does. leastOut for all in a window lets a
-// fleet start of which nothing is warm.
+// coldRate guesses what a cold host may get, from what the fleet does for a unit of size, taken as it was
+// done: held against what is left after most hosts have gone it would look like the work of a few. One that
+// began lately has not a window behind it: over a whole one it took the fleet for a fraction of what it is,
+// just when a release had put cold hosts in place of all. leastOut for all in a window lets a fleet start of
+// which nothing is warm.
 func (b *Balancer) coldRate(h *cache, w float64) float64 {
-	weight := 0.0
-	for _, o := range b.byID {
-		weight += o.weight * b.warmth(o)
-	}
-	perS := b.done.total(b.host.Now()) / window.seconds() * h.weight / weight
+	span := min(window, max(healthSlot, b.host.Now()-b.began))
+	perS := b.done.total(b.host.Now()) / span.seconds() * h.weight
 	least := leastOut / float64(b.terms.Balancers) / b.terms.FallWindow.seconds()
 	return max(coldSafety*b.terms.FallMultiple*w*perS, least)
 }
 
+// weigh sums the sizes of the caches that are up, as far as they are warm.
+func (b *Balancer) weigh() {
+	b.able = 0
+	for _, h := range b.byID {
+		b.able += h.weight * b.warmth(h)
+	}
+}
+
 // ---- health and limits
 
 const (
@@ -624,8 +634,8 @@
 	h.health.tell(now, good, bad)
 	b.zones[h.Zone].tell(now, good, bad)
 	b.all.tell(now, good, bad)
-	if good {
-		b.done.add(now, 1, 0)
+	if good && b.able > 0 {
+		b.done.add(now, 1/b.able, 0)
 	}
 	if over && !c.above {
 		b.pressed(c)
@@ -842,7 +852,7 @@
 }
 
 // followAgain tries again to follow the list, at some moment in half of AskEvery, after a further failure in
-// all of it: after 250 ms, doubled to a quarter of AskEvery, failed calls alone kept discovery from answering any.
+// all of it: after 250 ms, doubled to a quarter of it, failed calls alone kept discovery from answering.
 func (b *Balancer) followAgain() {
 	if !b.terms.MustSubscribe || b.retrying {
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,8 +25,10 @@
 	allowances         []allowance
 	tempos             []meter // by product, in the zone and across: seconds that shots at caches took, and how many
 	topValue, squeeze  float64
+	began              Nanos
+	able               float64         // sizes of byID, as far as they are warm
 	pace               meter           // the same of all products
-	all, done, further meter           // shots at caches, those that were good, further shots
+	all, done, further meter           // shots at caches, those that were good for a unit of able, further shots
 	delay              meter           // of shots at all caches, as cache.delay
 	unmet              meter           // shots answered, and errored or turned away
 	unmetOf, unmetBy   []meter         // the same by customer and by product
