--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,7 +84,7 @@
 				busy++
 				continue
 			}
-			if b.coldMayTake(h, c) {
+			if b.coldMayTake(h, c, pass > 0) {
 				return h
 			}
 		}
@@ -488,16 +488,17 @@
 	return b.terms.ColdFrom + (1-b.terms.ColdFrom)*max(0, float64(age))/float64(b.terms.RampTime)
 }
 
-// coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, and under it a
+// coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, or any key where no
+// other host takes the call: half of a fleet, new, stood idle beside hosts that held too much. Under it lies a
 // budget: this balancer's part of what would push it over. A part smaller than one is drawn and spent either
 // way: a least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window
 // bears: who asks once in seconds had a small chance each time at a quarter of it, and cold hosts stood idle.
-func (b *Balancer) coldMayTake(h *cache, c *call) bool {
+func (b *Balancer) coldMayTake(h *cache, c *call, any bool) bool {
 	w := b.warmth(h)
 	if w == 1 {
 		return true
 	}
-	if part(hash(string(h.Cache)+string(c.Key), 1)) >= w {
+	if !any && part(hash(string(h.Cache)+string(c.Key), 1)) >= w {
 		return false
 	}
 	perS, now := b.coldRate(h, w), b.host.Now()
