--- a/policy/policy.go
+++ b/policy/policy.go
@@ -135,7 +135,7 @@
 		return
 	}
 	s := &c.shots[e.Shot]
-	s.out, s.ran = false, mayHaveRun(e.Outcome)
+	s.out, s.ran, s.nobody = false, mayHaveRun(e.Outcome), e.Outcome == ConnectFailed
 	c.out--
 	if s.far {
 		b.origin.out--
@@ -143,7 +143,8 @@
 	if h != nil {
 		b.learn(h, c, e, s)
 	}
-	if e.Shot > 0 && s.at != b.origin && e.Outcome != NeverSent && e.Outcome != Missed && !c.missed {
+	if e.Shot > 0 && s.at != b.origin && !c.missed && e.Outcome != NeverSent && e.Outcome != Missed &&
+		e.Outcome != ConnectFailed {
 		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
 	}
 	switch {
@@ -163,8 +164,10 @@
 // again makes a further shot after one that failed, or gives up.
 func (b *Balancer) again(c *call, failed *cache) {
 	late := b.host.Now() >= c.began+c.terms.LatencySLO
+	// No host was given work by a shot that found nobody there: the next one feeds no overload.
+	tried := slices.ContainsFunc(c.shots, func(s shot) bool { return !s.nobody })
 	switch {
-	case late && c.terms.OverdueValue == 0 || !b.furtherPays():
+	case late && c.terms.OverdueValue == 0 || tried && !b.furtherPays():
 		b.giveUp(c)
 	case failed == b.origin:
 		b.askOrigin(c)
@@ -489,10 +492,10 @@
 }
 
 // coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, or any key where no
-// other host takes the call: half of a fleet, new, stood idle beside hosts that held too much. Under it lies a
-// budget: this balancer's part of what would push it over. A part smaller than one is drawn and spent either
-// way: a least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window
-// bears: who asks once in seconds had a small chance each time at a quarter of it, and cold hosts stood idle.
+// other takes the call: half of a fleet, new, stood idle beside hosts that held too much. Below is a budget:
+// this balancer's part of what would push it over. A part under one is drawn and spent either way: a
+// least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window bears:
+// who asks once in seconds had a small chance each time at a quarter of it, and cold hosts stood idle.
 func (b *Balancer) coldMayTake(h *cache, c *call, any bool) bool {
 	w := b.warmth(h)
 	if w == 1 {
@@ -580,9 +583,11 @@
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
-	// Answers come spoilt and connections break on any host, whatever its load: limits cut for it turned
-	// calls away.
-	over := bad && e.Outcome != Spoilt && e.Outcome != Reset
+	// Answers come spoilt and connections break on any host, whatever its load: limits cut for it turned calls
+	// away. Nor is a host that is not there crowded, nor one that errs before others answer: with half of the
+	// fleet gone and some of the rest erring, what was left was hardly used.
+	over := bad && e.Outcome != Spoilt && e.Outcome != Reset && e.Outcome != ConnectFailed &&
+		!(e.Outcome == Errored && h != b.origin && !s.far && e.Took.seconds() < b.usual())
 	if good {
 		h.well++
 	} else if over {
@@ -594,6 +599,9 @@
 	if full && !single { // a full host answers at once and looks idle: unrested it draws the traffic of all
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
+	} else if e.Outcome == ConnectFailed { // no one is there until the list tells more: each try takes a shot
+		h.rest = min(max(Second, 2*h.rest), 8*Second)
+		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	} else if good {
 		h.rest /= 2
 	}
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -364,6 +364,10 @@
 		if n, _ := strconv.Atoi(w[1]); len(s.b.caches) != n {
 			s.Errorf("%s: it remembers %d", s.where, len(s.b.caches))
 		}
+	case "bears": // bears LEAST: shots out at a host that the fleet is seen to bear
+		if least, _ := strconv.ParseFloat(w[1], 64); s.b.fleetBears < least {
+			s.Errorf("%s: it is %.3f", s.where, s.b.fleetBears)
+		}
 	case "expect": // the next action; * stands for any word; "nothing": no action is left
 		got := []string{"nothing"}
 		if len(s.did) > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,12 +70,13 @@
 }
 
 type shot struct {
-	at   *cache
-	sent Nanos
-	out  bool
-	ran  bool // may have run
-	well int  // good endings there when it was sent
-	far  bool // where caches fetch: a write or a likely miss, which goes on to the origin
+	at     *cache
+	sent   Nanos
+	out    bool
+	ran    bool // may have run
+	nobody bool // there was no connection
+	well   int  // good endings there when it was sent
+	far    bool // where caches fetch: a write or a likely miss, which goes on to the origin
 }
 
 // ring holds the points of the caches that are up, in the order of their hashes.
