--- a/policy/policy.go
+++ b/policy/policy.go
@@ -491,9 +491,9 @@
 	return b.terms.ColdFrom + (1-b.terms.ColdFrom)*max(0, float64(age))/float64(b.terms.RampTime)
 }
 
-// coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, or any key where no
-// other takes the call: half of a fleet, new, stood idle beside hosts that held too much. Below is a budget:
-// this balancer's part of what would push it over. A part under one is drawn and spent either way: a
+// coldMayTake gives a cold host a rising part of its own keys, the same at every balancer, or any key where
+// no other takes the call: half of a fleet, new, stood idle beside hosts that held too much. Below that is a
+// budget: this balancer's part of what would push it over. A part under one is drawn and spent either way: a
 // least of one each, times hundreds of balancers, pushed hosts over. As much is saved up as the window bears:
 // who asks once in seconds had a small chance each time at a quarter of it, and cold hosts stood idle.
 func (b *Balancer) coldMayTake(h *cache, c *call, any bool) bool {
@@ -814,7 +814,7 @@
 	}
 	b.backoff = 0
 	named := map[CacheID]bool{}
-	changed := kind != ListUpdate
+	changed, origin := kind != ListUpdate, b.origin
 	if b.unit == 0 {
 		b.unitOf(entries)
 	}
@@ -831,6 +831,11 @@
 	if changed {
 		b.rebuild()
 	}
+	if b.origin != origin {
+		// What a tenth of the caches may have out: at the limit of a single one a balancer that had just started
+		// turned away misses that all others sent on.
+		b.origin.limit = b.firstLimit() * max(1, float64(len(b.byID))/10)
+	}
 	b.held = 0
 	for _, h := range b.byID {
 		b.held += h.held / float64(len(b.byID))
