Ask hosts that refused a connection where no other is left, instead of never while they rest

Change: the rest after a refusal has a field of its own and is a wish, dropped at the second look; a full host's stays a bound.

Measured: the module's and the virtual fleet's tests pass, half_gone as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -75,7 +75,7 @@
 				break
 			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if asked || pass == 0 && !b.trusted(h, c) {
+			if asked || pass == 0 && (b.host.Now() < h.absentUntil || !b.trusted(h, c)) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
@@ -601,7 +601,7 @@
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	} else if e.Outcome == ConnectFailed { // no one is there until the list tells more: each try takes a shot
 		h.rest = min(max(Second, 2*h.rest), 8*Second)
-		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
+		h.absentUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	} else if good {
 		h.rest /= 2
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 	cutAt                Nanos
 	well, badAt          int // good endings, and how many there were at the last bad one
 	rest, restUntil      Nanos
+	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
 	budget               float64 // API calls that it may still get while cold
 	budgetAt             Nanos
