--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -327,10 +327,13 @@
 func TestDrainedHost(t *testing.T) {
 	x, y := newHost(t, "x", hit), newHost(t, "y", hit)
 	p, d := start(t, nil, nil, x, y)
-	c := p.dial(t)
+	c, calls := p.dial(t), 0
 	ask := func(from int) {
 		for i := from; i < from+50; i++ {
-			expect(t, c.ask(get(fmt.Sprint("key", i), "a", 900)), fmt.Sprintf("VA %d Oa|value of key%d", 12+len(fmt.Sprint(i)), i))
+			// Each call has an id of its own, as clients give them: one is free again only just after its answer.
+			calls++
+			expect(t, c.ask(get(fmt.Sprint("key", i), fmt.Sprint("a", calls), 900)),
+				fmt.Sprintf("VA %d Oa%d|value of key%d", 12+len(fmt.Sprint(i)), calls, i))
 		}
 	}
 	ask(100)
