Open the operators' door: readiness, figures, cache hosts out and back by hand

Ruled out on the way: that shots to the origin are no attempts.

Change: internal/admin (net/http, at most eight connections, the oldest without a whole call goes for a newcomer); Exclude, Include and Fleet in the module, asked at every place that asks for a host's condition; the same last check in upstream; a host that comes back is cold from then on and gets a first call within four seconds of each balancer, at a drawn moment. Answers are counted once written, API calls turned away at the door of read.go too.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,299 @@
+// Package admin is the operators' door: HTTP/1.1 on an address of its own, one call to a connection. It asks the Balancer
+// that it was made with and decides nothing.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Balancer is what the door opens to.
+type Balancer interface {
+	Ready() bool
+	Figures() Figures
+	// Exclude takes a cache host out, Include puts it back. Each returns once it holds.
+	Exclude(member string) error
+	Include(member string) error
+}
+
+// What a call on a member may meet.
+var (
+	ErrNobody  = errors.New("no cache host has this id")
+	ErrTooMany = errors.New("too many cache hosts are out already")
+)
+
+const (
+	// mostConns bounds the connections: a scrape, a readiness check and a hand at the console each hold one for some
+	// milliseconds; what is beyond that holds one without a call.
+	mostConns = 8
+	// callWait is for the whole call, answerWait for the answer to be taken: longer than any of the operators' tools takes.
+	callWait   = 5 * time.Second
+	answerWait = 2 * time.Second
+	mostHead   = 8 << 10
+	mostBody   = 4 << 10 // an id has a few dozen bytes
+)
+
+// Descriptors is what the door holds at the most, with its listener.
+const Descriptors = mostConns + 1
+
+// Door is the operators' address while it is open.
+type Door struct {
+	server   http.Server
+	listener *bounded
+}
+
+// Open answers on a listener until Close.
+func Open(l net.Listener, to Balancer) *Door {
+	d := &Door{listener: &bounded{Listener: l}}
+	d.server = http.Server{Handler: handler(to), ReadTimeout: callWait, ReadHeaderTimeout: callWait, WriteTimeout: callWait + answerWait,
+		MaxHeaderBytes: mostHead, ErrorLog: stdlog.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	d.server.SetKeepAlivesEnabled(false)
+	go d.server.Serve(d.listener)
+	return d
+}
+
+// Close takes no more calls and ends those in hand.
+func (d *Door) Close() { d.server.Close() }
+
+type connKey struct{}
+
+// handler knows the calls. What is wrong with one is said in one line; it has changed nothing then.
+func handler(to Balancer) http.Handler {
+	calls := map[string]struct {
+		method string
+		answer http.HandlerFunc
+	}{
+		"/api/ready": {http.MethodGet, func(w http.ResponseWriter, _ *http.Request) {
+			if !to.Ready() {
+				say(w, http.StatusServiceUnavailable, "this process takes no clients")
+				return
+			}
+			say(w, http.StatusOK, "ready")
+		}},
+		"/api/telemetry": {http.MethodGet, func(w http.ResponseWriter, _ *http.Request) {
+			text := write(to.Figures())
+			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+			w.Write(text)
+		}},
+		"/api/exclude": {http.MethodPost, onMember(to.Exclude, "is out")},
+		"/api/include": {http.MethodPost, onMember(to.Include, "is in")},
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			called(r)
+		}
+		call, known := calls[r.URL.Path]
+		switch {
+		case !known:
+			say(w, http.StatusNotFound, "no such call")
+		case r.Method != call.method:
+			w.Header().Set("Allow", call.method)
+			say(w, http.StatusMethodNotAllowed, "expected "+call.method)
+		default:
+			call.answer(w, r)
+		}
+	})
+}
+
+func say(w http.ResponseWriter, status int, line string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	io.WriteString(w, line+"\n")
+}
+
+func onMember(do func(string) error, done string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+		if err != nil {
+			status := http.StatusBadRequest
+			if errors.As(err, new(*http.MaxBytesError)) {
+				status = http.StatusRequestEntityTooLarge
+			}
+			say(w, status, "body: "+err.Error())
+			return
+		}
+		called(r)
+		member, err := memberIn(body)
+		if err != nil {
+			say(w, http.StatusBadRequest, "body: "+err.Error())
+			return
+		}
+		switch err = do(member); {
+		case errors.Is(err, ErrNobody):
+			say(w, http.StatusNotFound, err.Error())
+		case err != nil:
+			say(w, http.StatusServiceUnavailable, err.Error())
+		default:
+			say(w, http.StatusOK, fmt.Sprintf("%q %s", member, done))
+		}
+	}
+}
+
+// memberIn reads {"member":"ID"} and nothing else. It goes by tokens: decoding into a type would take the last of two
+// members, and a key in other letters, for what was meant.
+func memberIn(body []byte) (member string, err error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return "", errors.New(`expected {"member":"ID"}`)
+	}
+	for dec.More() {
+		key, err := dec.Token()
+		if err != nil {
+			return "", errors.New("not JSON")
+		}
+		if key != "member" {
+			return "", fmt.Errorf("key %q is not known", key)
+		}
+		v, err := dec.Token()
+		if err != nil {
+			return "", errors.New("not JSON")
+		}
+		id, ok := v.(string)
+		switch {
+		case !ok || id == "":
+			return "", errors.New("member: expected an id")
+		case member != "":
+			return "", errors.New("member stands twice")
+		}
+		member = id
+	}
+	if _, err := dec.Token(); err != nil {
+		return "", errors.New("not JSON")
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return "", errors.New("something follows the object")
+	}
+	if member == "" {
+		return "", errors.New("member is missing")
+	}
+	return member, nil
+}
+
+// bounded takes every connection at once and holds so many: where one is too many, the oldest that has sent no whole
+// call goes, so that those who hold one and say nothing keep nobody out.
+type bounded struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*conn // in the order of their coming
+}
+
+type conn struct {
+	net.Conn
+	in    *bounded
+	whole bool // under in.mu: a whole call has come
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	for wait := time.Millisecond; ; wait = min(2*wait, 100*time.Millisecond) {
+		c, err := b.Listener.Accept()
+		if err == nil {
+			return b.enter(c), nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		time.Sleep(wait) // a lack of descriptors passes
+	}
+}
+
+func (b *bounded) enter(from net.Conn) *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.conns) >= mostConns {
+		out := b.conns[0]
+		for _, c := range b.conns {
+			if !c.whole {
+				out = c
+				break
+			}
+		}
+		b.drop(out)
+		out.Conn.Close()
+	}
+	c := &conn{Conn: from, in: b}
+	b.conns = append(b.conns, c)
+	return c
+}
+
+func (b *bounded) drop(c *conn) {
+	for i, o := range b.conns {
+		if o == c {
+			b.conns = append(b.conns[:i], b.conns[i+1:]...)
+			return
+		}
+	}
+}
+
+// called notes that a call has come whole.
+func called(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.in.mu.Lock()
+		c.whole = true
+		c.in.mu.Unlock()
+	}
+}
+
+func (c *conn) Close() error {
+	c.in.mu.Lock()
+	c.in.drop(c)
+	c.in.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Figures are what the balancer counts since its start, and how things stand.
+type Figures struct {
+	Products []Product
+	Shots    int64 // written whole
+	InHand   int64 // API calls
+	Listed   int   // cache hosts
+	Avoided  int   // of those
+}
+
+// Product is one with the final answers that its API calls were given.
+type Product struct {
+	Name                            string
+	Fulfilled, RateLimited, Errored int64
+}
+
+// write gives the figures in the Prometheus text format.
+func write(f Figures) []byte {
+	var to bytes.Buffer
+	for _, one := range []struct {
+		name string
+		of   func(Product) int64
+	}{
+		{"app_answered_total", func(p Product) int64 { return p.Fulfilled }},
+		{"app_deferred_total", func(p Product) int64 { return p.RateLimited }},
+		{"app_errored_total", func(p Product) int64 { return p.Errored }},
+	} {
+		fmt.Fprintf(&to, "# TYPE %s counter\n", one.name)
+		for _, p := range f.Products {
+			fmt.Fprintf(&to, "%s{group=\"%s\"} %d\n", one.name, escapes.Replace(p.Name), one.of(p))
+		}
+	}
+	for _, one := range []struct {
+		name, kind string
+		n          int64
+	}{
+		{"app_sends_total", "counter", f.Shots},
+		{"app_current", "gauge", f.InHand},
+		{"app_cluster_size", "gauge", int64(f.Listed)},
+		{"app_cluster_unhealthy", "gauge", int64(f.Avoided)},
+	} {
+		fmt.Fprintf(&to, "# TYPE %s %s\n%s %d\n", one.name, one.kind, one.name, one.n)
+	}
+	return to.Bytes()
+}
+
+var escapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"streamrail/internal/admin"
 	"streamrail/internal/deployment"
 	"streamrail/internal/operator"
 	"streamrail/internal/pool"
@@ -50,14 +51,19 @@
 	held       atomic.Int64 // bytes of values in hand
 	mostHeld   int64
 	tally      tally
+	figures    *figures
 }
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
 func New(told *deployment.Deployment, own *operator.File, log zerolog.Logger) *Balancer {
 	room := told.Sockets - ownSockets
+	if told.Admin != "" {
+		room -= admin.Descriptors
+	}
 	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4), rested: make(chan *call),
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:      tally{hosts: map[policy.CacheID]*[2]int64{}},
+		figures:    newFigures(told),
 		clients:    newClients(room/2-room/16, room/2),
 		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
 		mostHeld:   int64(told.MemoryMB) << 20 / part,
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -100,6 +100,7 @@
 					c.settled = true
 					b.module.Abandoned(c.id)
 					b.tally.abandoned.Add(1)
+					b.figures.inHand.Add(-1)
 					close(c.answered)
 				}
 			})
--- /dev/null
+++ b/internal/balancer/figures.go
@@ -0,0 +1,82 @@
+package balancer
+
+import (
+	"sync/atomic"
+
+	"streamrail/internal/admin"
+	"streamrail/internal/deployment"
+	"streamrail/policy"
+)
+
+// final is the kind of an API call's one final answer.
+type final int
+
+const (
+	fulfilled final = iota
+	rateLimited
+	errored
+)
+
+// figures count what clients have seen since the start: an answer counts once it is written whole. One that its client
+// did not wait for counts nowhere.
+type figures struct {
+	names  []string // by product
+	finals [][errored + 1]atomic.Int64
+	inHand atomic.Int64 // API calls taken and neither answered nor abandoned
+}
+
+func newFigures(told *deployment.Deployment) *figures {
+	f := &figures{names: make([]string, len(told.Products)), finals: make([][errored + 1]atomic.Int64, len(told.Products))}
+	for name, p := range told.Products {
+		f.names[p] = name
+	}
+	return f
+}
+
+func (f *figures) answered(p policy.Product, as final) { f.finals[p][as].Add(1) }
+
+// door is what the operators' door opens to.
+type door struct{ b *Balancer }
+
+func (d door) Ready() bool { return d.b.in() == Serving || d.b.in() == Leaving }
+
+func (d door) Figures() admin.Figures {
+	f := d.b.figures
+	to := admin.Figures{Shots: d.b.hosts.Sent(), InHand: f.inHand.Load()}
+	for i, name := range f.names {
+		n := &f.finals[i]
+		to.Products = append(to.Products, admin.Product{Name: name, Fulfilled: n[fulfilled].Load(),
+			RateLimited: n[rateLimited].Load(), Errored: n[errored].Load()})
+	}
+	d.b.decide(func() { to.Listed, to.Avoided = d.b.module.Fleet() })
+	return to
+}
+
+// Exclude takes a host out: first where calls are given to it, then where they are written.
+func (d door) Exclude(member string) error {
+	id := policy.CacheID(member)
+	known, held := false, false
+	d.b.decide(func() { known, held = d.b.module.Exclude(id) })
+	switch {
+	case !known:
+		return admin.ErrNobody
+	case !held:
+		return admin.ErrTooMany
+	}
+	d.b.hosts.Exclude(id)
+	d.b.log.Info().Str("host", member).Msg("taken out by hand")
+	return nil
+}
+
+// Include puts it back, the other way round.
+func (d door) Include(member string) error {
+	id := policy.CacheID(member)
+	known := false
+	d.b.hosts.Include(id)
+	d.b.decide(func() { known = d.b.module.Include(id) })
+	if !known {
+		return admin.ErrNobody
+	}
+	d.b.log.Info().Str("host", member).Msg("put back by hand")
+	return nil
+}
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"streamrail/internal/admin"
 )
 
 // Phase is a stage of the program from start to exit.
@@ -58,6 +60,13 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer listener.Close()
+	if b.told.Admin != "" {
+		l, err := net.Listen("tcp", b.told.Admin)
+		if err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+		defer admin.Open(l, door{b}).Close()
+	}
 	defer b.end()
 	b.restore()
 	b.watch()
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -181,9 +181,14 @@
 	}
 	c.proven.Store(true)
 	if !admitted {
-		return c.say(string(memcache.AppendRateLimited(nil, 0)))
+		said := c.say(string(memcache.AppendRateLimited(nil, 0)))
+		if said {
+			b.figures.answered(call.product, rateLimited)
+		}
+		return said
 	}
 	started = true
+	b.figures.inHand.Add(1)
 	call.turn, call.answered = c.last, make(chan struct{})
 	c.last = call.answered
 	c.behind <- struct{}{}
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -29,6 +29,7 @@
 	t.Cleanup(func() { conn.Close() })
 	b := &Balancer{told: &deployment.Deployment{Products: map[string]policy.Product{"pay": 0},
 		Terms: policy.Terms{Products: make([]policy.ProductTerms, 1)}}, clients: newClients(1, 1)}
+	b.figures = newFigures(b.told)
 	b.phase.Store(int32(Serving))
 	return b, newClient(conn), peer
 }
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -13,25 +13,26 @@
 // fulfil passes on the value or the receipt that a host gave for this API call.
 func (c *call) fulfil(body []byte) {
 	if c.Write {
-		c.answer(memcache.AppendReceipt(nil, c.ID, body))
+		c.answer(fulfilled, memcache.AppendReceipt(nil, c.ID, body))
 	} else {
-		c.answer(memcache.AppendValue(nil, c.ID, len(body)), body, []byte("\r\n"))
+		c.answer(fulfilled, memcache.AppendValue(nil, c.ID, len(body)), body, []byte("\r\n"))
 	}
 }
 
 func (c *call) rateLimit(o order) {
 	c.b.tally.rateLimited.Add(1)
-	c.answer(memcache.AppendRateLimited(nil, time.Duration(o.time)))
+	c.answer(rateLimited, memcache.AppendRateLimited(nil, time.Duration(o.time)))
 }
 
 func (c *call) errored(order) {
 	c.b.tally.errored.Add(1)
-	c.answer([]byte(memcache.NoAnswer))
+	c.answer(errored, []byte(memcache.NoAnswer))
 }
 
 // answer writes the final answer in its turn.
-func (c *call) answer(parts ...[]byte) {
+func (c *call) answer(as final, parts ...[]byte) {
 	defer close(c.answered)
+	defer c.b.figures.inHand.Add(-1)
 	select {
 	case <-c.turn:
 	case <-c.client.gone:
@@ -41,5 +42,7 @@
 	buffers := net.Buffers(parts)
 	if _, err := buffers.WriteTo(c.client.net); err != nil {
 		c.client.net.Close() // the client can tell that the answer is not whole
+		return
 	}
+	c.b.figures.answered(c.product, as)
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -19,6 +19,7 @@
 // Deployment is what one balancer is told.
 type Deployment struct {
 	Name, Listen, Discovery string
+	Admin                   string // the operators' address; empty: there is no door
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Known                   json.RawMessage // the list as this balancer last had it; may be absent
@@ -36,7 +37,7 @@
 	settings any // as they stand in the file
 }
 
-// FromEnvironment reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY win over it.
+// FromEnvironment reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR win over it.
 func FromEnvironment(getenv func(string) string) (*Deployment, error) {
 	return read(getenv, false)
 }
@@ -53,7 +54,7 @@
 		key    string
 		differ bool
 	}{
-		{"name", d.Name != other.Name}, {"listen", d.Listen != other.Listen}, {"seed", d.Seed != other.Seed},
+		{"name", d.Name != other.Name}, {"listen", d.Listen != other.Listen}, {"admin_addr", d.Admin != other.Admin}, {"seed", d.Seed != other.Seed},
 		{"limits.memory_mb", d.MemoryMB != other.MemoryMB}, {"limits.sockets", d.Sockets != other.Sockets},
 		{"settings", !reflect.DeepEqual(d.settings, other.settings)},
 	} {
@@ -79,6 +80,7 @@
 func parse(text []byte, getenv func(string) string, fileWins bool) (*Deployment, error) {
 	var file struct {
 		Name, Listen, Discovery string
+		Admin                   string `json:"admin_addr"`
 		Seed                    string
 		Limits                  struct {
 			MemoryMB float64 `json:"memory_mb"`
@@ -90,18 +92,21 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: not the JSON expected: %w", err)
 	}
-	d := &Deployment{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Known: file.Known,
+	d := &Deployment{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, Known: file.Known,
 		MemoryMB: int(file.Limits.MemoryMB), Sockets: int(file.Limits.Sockets)}
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"GW_NAME", &d.Name}, {"GW_LISTEN", &d.Listen}, {"GW_DISCOVERY", &d.Discovery}} {
+	}{{"GW_NAME", &d.Name}, {"GW_LISTEN", &d.Listen}, {"GW_DISCOVERY", &d.Discovery}, {"GW_ADMIN_ADDR", &d.Admin}} {
 		if s := getenv(v.name); s != "" && !(fileWins && *v.to != "") {
 			*v.to = s
 		}
 	}
 	for _, v := range []struct{ key, variable, value string }{
-		{"listen", "GW_LISTEN", d.Listen}, {"discovery", "GW_DISCOVERY", d.Discovery}} {
+		{"listen", "GW_LISTEN", d.Listen}, {"discovery", "GW_DISCOVERY", d.Discovery}, {"admin_addr", "GW_ADMIN_ADDR", d.Admin}} {
+		if v.key == "admin_addr" && v.value == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(v.value); err != nil {
 			return nil, fmt.Errorf("%s: expected host:port in it or in %s, got %q", v.key, v.variable, v.value)
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -97,6 +97,7 @@
 	if !c.write(s) {
 		return Result{Outcome: policy.ConnectFailed}, false, false
 	}
+	c.hosts.sent.Add(1)
 	r, keep, err := c.read(s)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"streamrail/internal/discovery"
@@ -97,7 +98,10 @@
 	conns map[pool.Conn]*conn
 	shots map[pool.Shot]*Shot // that the pool has not carried or refused yet
 	last  pool.Shot
-	over  chan struct{} // closed by Close
+	over  chan struct{}           // closed by Close
+	out   map[policy.CacheID]bool // taken out by hand
+
+	sent atomic.Int64 // shots written whole, to the origin too
 }
 
 type host struct {
@@ -110,7 +114,7 @@
 // New makes an empty set; the origin is what discovery lists with that kind.
 func New(limits Limits, origin policy.Kind) *Hosts {
 	hs := &Hosts{limits: limits, origin: origin, epoch: time.Now(), dial: (&net.Dialer{}).DialContext, all: map[policy.CacheID]*host{}, conns: map[pool.Conn]*conn{},
-		shots: map[pool.Shot]*Shot{}, over: make(chan struct{})}
+		shots: map[pool.Shot]*Shot{}, out: map[policy.CacheID]bool{}, over: make(chan struct{})}
 	hs.pool = pool.New(orders{hs}, limits.Pool, rand.Float64)
 	go hs.tick()
 	return hs
@@ -170,7 +174,7 @@
 // mark tells the pool what a host wants from now on.
 func (hs *Hosts) mark(h *host, condition policy.Condition, moved bool) {
 	h.Condition = condition
-	if condition != policy.Up {
+	if condition != policy.Up || hs.out[h.Cache] {
 		if h.told.IsZero() {
 			h.told = time.Now()
 		}
@@ -189,6 +193,32 @@
 	hs.pool.Up(now, pool.Host(h.Cache), born, moved, most)
 }
 
+// Exclude hears that a host is taken out by hand: it is left alone like one that drains, whatever the list says.
+func (hs *Hosts) Exclude(id policy.CacheID) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	hs.out[id] = true
+	if h := hs.all[id]; h != nil {
+		hs.mark(h, h.Condition, false)
+	}
+}
+
+// Include hears that it is put back. It may have been restarted: no connection of before is used again.
+func (hs *Hosts) Include(id policy.CacheID) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	if !hs.out[id] {
+		return
+	}
+	delete(hs.out, id)
+	if h := hs.all[id]; h != nil {
+		hs.mark(h, h.Condition, true)
+	}
+}
+
+// Sent is the number of shots written whole, to the origin too: the list names it like the cache hosts.
+func (hs *Hosts) Sent() int64 { return hs.sent.Load() }
+
 // Shoot carries a shot over a connection that rests, one that is opened or one that comes free, or refuses it.
 func (hs *Hosts) Shoot(s *Shot) {
 	hs.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,7 @@
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, began: host.Now(), caches: map[CacheID]*cache{},
+		out:    map[CacheID]bool{},
 		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		unmetOf: make([]meter, len(terms.Customers)+1), unmetBy: make([]meter, len(terms.Products)),
@@ -68,6 +69,9 @@
 func (b *Balancer) next(c *call) *cache {
 	mean := float64(b.shotsOut) / float64(max(1, len(b.byID)))
 	far := reach + 3*(1-b.squeeze)
+	if h := b.returned(c); h != nil {
+		return h
+	}
 	for pass := range 2 {
 		busy := 0
 		for h := range b.path(c) {
@@ -102,6 +106,7 @@
 		to.busySince = now
 	}
 	to.out++
+	to.owed = 0
 	if to != b.origin {
 		b.shotsOut++
 	}
@@ -124,7 +129,7 @@
 	if h != nil {
 		if h.out > 0 {
 			h.out--
-			if h != b.origin && h.Condition == Up {
+			if h != b.origin && b.up(h) {
 				b.shotsOut--
 			}
 		}
@@ -325,7 +330,7 @@
 func (b *Balancer) rebuild() {
 	b.byID, b.shotsOut = b.byID[:0], 0
 	for _, h := range b.caches {
-		if h != b.origin && h.Condition == Up {
+		if h != b.origin && b.up(h) {
 			b.byID = append(b.byID, h)
 			b.shotsOut += h.out
 		}
@@ -371,7 +376,7 @@
 		u.copyAt = candidate.Cache
 	}
 	h := b.caches[u.copyAt]
-	if h == nil || home == nil || h == home || h.Condition != Up ||
+	if h == nil || home == nil || h == home || !b.up(h) ||
 		cmp.Or(cmp.Compare(b.hop(h), b.hop(home)), cmp.Compare(h.Cache, home.Cache)) > 0 {
 		return nil
 	}
@@ -440,7 +445,7 @@
 	least := b.threshold() / 2
 	for i := len(t.use) - 1; i >= 0; i-- {
 		u := &t.use[i]
-		if at := b.caches[u.copyAt]; at == nil || at.Condition != Up {
+		if at := b.caches[u.copyAt]; at == nil || !b.up(at) {
 			u.copyAt = ""
 		} else if home := b.ring.home(u.key); home != nil && b.profit(u, home, at) < least {
 			u.copyAt = ""
@@ -484,8 +489,9 @@
 
 // warmth is the share of its capacity that a host has at the least, by the time since its start.
 func (b *Balancer) warmth(h *cache) float64 {
-	age := b.host.Now() - h.Born
-	if h.Born == 0 || age >= b.terms.RampTime {
+	born := max(h.Born, h.back)
+	age := b.host.Now() - born
+	if born == 0 || age >= b.terms.RampTime {
 		return 1
 	}
 	return b.terms.ColdFrom + (1-b.terms.ColdFrom)*max(0, float64(age))/float64(b.terms.RampTime)
@@ -686,6 +692,19 @@
 // or lost zone would else cost every balancer a shot at each of its hosts. Work that cannot be repeated takes
 // no draw.
 func (b *Balancer) trusted(h *cache, c *call) bool {
+	mean, bar, n := b.standing(h)
+	if mean == 1 {
+		return true
+	}
+	if c.terms.Effect == NonIdempotent {
+		return mean >= bar
+	}
+	z := (b.chance() + b.chance() + b.chance() + b.chance() - 2) * math.Sqrt(3)
+	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
+}
+
+// standing is the mean of a host's posterior, the bar that it is held to and how many endings are behind it.
+func (b *Balancer) standing(h *cache) (mean, bar, n float64) {
 	now := b.host.Now()
 	good, bad := h.health.faded(now)
 	if n := b.overdue(h); n > hung {
@@ -693,19 +712,14 @@
 	}
 	zoneGood, zoneBad := b.zones[h.Zone].faded(now)
 	if bad == 0 && zoneBad == 0 {
-		return true
+		return 1, 0, 0
 	}
 	allGood, allBad := b.all.faded(now)
 	// Bars of 0.6 and 0.9 made no difference above noise.
-	bar := 0.75 * (allGood + 4) / (allGood + allBad + 4)
+	bar = 0.75 * (allGood + 4) / (allGood + allBad + 4)
 	prior := (zoneGood + 1) / (zoneGood + zoneBad + 1)
-	good, n := good+prior, good+bad+1
-	mean := good / n
-	if c.terms.Effect == NonIdempotent {
-		return mean >= bar
-	}
-	z := (b.chance() + b.chance() + b.chance() + b.chance() - 2) * math.Sqrt(3)
-	return mean+z*math.Sqrt(mean*(1-mean)/(n+1)) >= bar
+	n = good + bad + 1
+	return (good + prior) / n, bar, n
 }
 
 // loneAfter is how many good endings, since the last bad one or since the shot was sent, make a failure a
@@ -842,6 +856,81 @@
 	}
 }
 
+// up tells that a host may be sent to: the list names it so and nobody has taken it out.
+func (b *Balancer) up(h *cache) bool { return h.Condition == Up && !b.out[h.Cache] }
+
+// knows tells whether an id is a cache's, listed or out by hand; the origin is none.
+func (b *Balancer) knows(id CacheID) bool {
+	h := b.caches[id]
+	return b.out[id] || h != nil && h != b.origin
+}
+
+// Exclude takes a cache out by hand until Include: no list lifts that, nor its leaving the list.
+func (b *Balancer) Exclude(id CacheID) (known, held bool) {
+	if known = b.knows(id); !known || len(b.out) >= mostExcluded && !b.out[id] {
+		return known, false
+	}
+	b.out[id] = true
+	b.rebuild()
+	return known, true
+}
+
+// mostExcluded bounds the caches out by hand: those that no list names any more stay out. Many times a fleet.
+const mostExcluded = 4096
+
+// Include puts a cache back. Operators restart it meanwhile: it comes back as one that starts now, whatever
+// the list knows of its start, and nothing learnt of it before holds. One that was not out stays as it is.
+func (b *Balancer) Include(id CacheID) (known bool) {
+	if known = b.knows(id); !b.out[id] {
+		return known
+	}
+	delete(b.out, id)
+	if old := b.caches[id]; old != nil {
+		delete(b.caches, id)
+		b.note(old.Entry)
+		h, now := b.caches[id], b.host.Now()
+		h.out, h.busySince, h.lastEnded, h.back = old.out, old.busySince, old.lastEnded, now
+		h.owed, b.owing = now+Nanos(float64(backWithin)*b.chance()), true
+	}
+	b.rebuild()
+	return known
+}
+
+// backWithin is when a cache that was put back is used at the latest, by each balancer at its own moment:
+// with few API calls its budget gives each balancer one in minutes, and nobody could tell that it is back.
+const backWithin = 4 * Second
+
+// returned is a cache that was put back by hand and is due to be used.
+func (b *Balancer) returned(c *call) *cache {
+	if !b.owing || c.Write || len(c.shots) > 0 || c.terms.Effect != Idempotent {
+		return nil
+	}
+	b.owing = false
+	for _, h := range b.byID {
+		b.owing = b.owing || h.owed > 0
+		if h.owed > 0 && b.host.Now() >= h.owed {
+			h.budget = max(0, h.budget-1)
+			return h
+		}
+	}
+	return nil
+}
+
+// Fleet counts the caches that are listed, and those of them that this balancer avoids, by hand or by choice.
+func (b *Balancer) Fleet() (listed, avoided int) {
+	now := b.host.Now()
+	for _, h := range b.caches {
+		if h == b.origin || h.Condition == Gone {
+			continue
+		}
+		listed++
+		if mean, bar, _ := b.standing(h); !b.up(h) || now < h.absentUntil || mean < bar {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // forget drops a host that is gone once nothing is out there: others come under new ids all day.
 func (b *Balancer) forget(h *cache) {
 	if h.Condition == Gone && h.out == 0 && h != b.origin {
@@ -906,7 +995,7 @@
 	h := &cache{Entry: e, limit: b.firstLimit(), weight: e.Size}
 	h.delay.width, h.budgetAt = delaySlot, b.host.Now()
 	if old != nil {
-		h.out, h.busySince, h.lastEnded = old.out, old.busySince, old.lastEnded
+		h.out, h.busySince, h.lastEnded, h.back, h.owed = old.out, old.busySince, old.lastEnded, old.back, old.owed
 	}
 	if size := b.ofKind[e.Kind]; b.terms.LiveSizes && size > 0 {
 		h.weight = math.Exp2(math.Round(2*math.Log2(size)) / 2)
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -320,6 +320,17 @@
 			}
 		}
 		s.b.Listed(kind, entries)
+	case "exclude", "include": // by hand; nobody=1: no cache has that id
+		known := false
+		if h := s.hosts[CacheID(w[1])]; w[0] == "include" {
+			known = s.b.Include(CacheID(w[1]))
+			h.toldAt, h.Born = 0, s.now
+		} else if known, _ = s.b.Exclude(CacheID(w[1])); h != nil {
+			h.toldAt = s.now - drainGrace - 1
+		}
+		if known != (o["nobody"] == "") {
+			s.Errorf("%s: known: %v", s.where, known)
+		}
 	case "wait":
 		s.moveTo(s.now + Nanos(o.num("ns", 0)) + o.ms("ms", 0))
 	case "answer":
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,17 +26,19 @@
 	tempos             []meter // by product, in the zone and across: seconds that shots at caches took, and how many
 	topValue, squeeze  float64
 	began              Nanos
-	able               float64         // sizes of byID, as far as they are warm
-	pace               meter           // the same of all products
-	all, done, further meter           // shots at caches, those that were good for a unit of able, further shots
-	delay              meter           // of shots at all caches, as cache.delay
-	unmet              meter           // shots answered, and errored or turned away
-	unmetOf, unmetBy   []meter         // the same by customer and by product
-	backoff            Nanos           // before the next try to follow the list
-	zones              map[Zone]*meter // as all, by the caches' zones
-	fleetBears         float64         // shots out at a host that the fleet is seen to bear
-	held               float64         // a core, by the mean of caches, where the list tells
-	retrying, noted    bool            // noted: caches tell hits from misses
+	able               float64          // sizes of byID, as far as they are warm
+	pace               meter            // the same of all products
+	all, done, further meter            // shots at caches, those that were good for a unit of able, further shots
+	delay              meter            // of shots at all caches, as cache.delay
+	unmet              meter            // shots answered, and errored or turned away
+	unmetOf, unmetBy   []meter          // the same by customer and by product
+	backoff            Nanos            // before the next try to follow the list
+	zones              map[Zone]*meter  // as all, by the caches' zones
+	fleetBears         float64          // shots out at a host that the fleet is seen to bear
+	held               float64          // a core, by the mean of caches, where the list tells
+	out                map[CacheID]bool // taken out by hand, whatever the list says
+	retrying, noted    bool             // noted: caches tell hits from misses
+	owing              bool             // some cache's owed may be set
 }
 
 // cache is a cache host, or the origin.
@@ -54,6 +56,8 @@
 	rest, restUntil      Nanos
 	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
+	back                 Nanos   // put back by hand: what was known of it before holds no more
+	owed                 Nanos   // put back by hand and not used since: it is, once this has come
 	budget               float64 // API calls that it may still get while cold
 	budgetAt             Nanos
 	delay                meter // of its shots beyond calm times, in parts of their SLOs
