Hand the clients' socket, the bans and what was learnt over to a newer process

Ruled out: that sharing the address by SO_REUSEPORT would do.

Change: internal/handover (a seat on a Unix socket in TMPDIR, the listening socket by SCM_RIGHTS, one message a line, bans in a file beside it); internal/balancer/upgrade.go carries it out: bans in the order of the older process, each leaves the other half of what is free, shots at the origin count together; a process with a successor closes its listener on SIGTERM and drains at once. The module tells and takes over limits, health and returns by hand. SetMemoryLimit, connections and values in hand follow.

Tests were seen to fail with a socket of its own, without bans passed on, and without the file.

--- a/cmd/streamrail/main.go
+++ b/cmd/streamrail/main.go
@@ -33,7 +33,6 @@
 	}
 	log = log.With().Str("balancer", told.Name).Logger()
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(told.MemoryMB) << 20 * 3 / 4)
 	debug.SetGCPercent(collectAt)
 	own, err := operator.Read(os.Getenv("STREAMRAIL_FILE"))
 	if err != nil {
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -30,6 +30,20 @@
 	silentLeast = 100 * time.Millisecond
 )
 
+// limit sets the bounds anew. What is open beyond them makes room as more come.
+func (cs *clients) limit(most, open int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.most, cs.open = most, open
+}
+
+// full tells that no more are accepted for now.
+func (cs *clients) full() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.all) >= cs.open
+}
+
 // enter counts a connection in.
 func (cs *clients) enter(c *client) {
 	cs.mu.Lock()
@@ -122,7 +136,7 @@
 	defer b.clients.close()
 	wait := time.Millisecond
 	for {
-		for b.clients.count() >= b.clients.open {
+		for b.clients.full() {
 			select {
 			case <-b.clients.left:
 			case <-time.After(20 * time.Millisecond):
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 
 	"streamrail/internal/admin"
 	"streamrail/internal/deployment"
+	"streamrail/internal/handover"
 	"streamrail/internal/operator"
 	"streamrail/internal/pool"
 	"streamrail/internal/upstream"
@@ -46,30 +48,35 @@
 	clients    *clients
 	rested     chan *call   // is read by goroutines that rest between calls
 	resting    atomic.Int64 // are so many
+	whole      holds        // what a balancer may hold
 	open       atomic.Int64 // API calls in hand
-	mostInHand int64
+	mostInHand atomic.Int64
 	held       atomic.Int64 // bytes of values in hand
-	mostHeld   int64
+	mostHeld   atomic.Int64
 	tally      tally
 	figures    *figures
+	upgrade    upgrade
 }
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
 func New(told *deployment.Deployment, own *operator.File, log zerolog.Logger) *Balancer {
 	room := told.Sockets - ownSockets
 	if told.Admin != "" {
-		room -= admin.Descriptors
+		room -= admin.Descriptors + handover.Descriptors
 	}
 	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4), rested: make(chan *call),
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
-		tally:      tally{hosts: map[policy.CacheID]*[2]int64{}},
-		figures:    newFigures(told),
-		clients:    newClients(room/2-room/16, room/2),
-		mostInHand: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
-		mostHeld:   int64(told.MemoryMB) << 20 / part,
+		tally:   tally{hosts: map[policy.CacheID]*[2]int64{}},
+		figures: newFigures(told),
+		clients: newClients(room/2-room/16, room/2),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
 			Most: room / 2, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
+	b.whole = holds{clients: int64(room / 2), upstream: int64(room / 2), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
+		bytes: int64(told.MemoryMB) << 20 / part}
+	b.limit(b.whole)
+	debug.SetMemoryLimit(b.memory())
+	b.upgrade.answers = make(chan handover.Message, 4)
 	b.wakes.armed = never
 	b.running, b.end = context.WithCancel(context.Background())
 	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -38,7 +38,9 @@
 // door is what the operators' door opens to.
 type door struct{ b *Balancer }
 
-func (d door) Ready() bool { return d.b.in() == Serving || d.b.in() == Leaving }
+func (d door) Ready() bool {
+	return d.b.upgrade.seated.Load() && (d.b.in() == Serving || d.b.in() == Leaving)
+}
 
 func (d door) Figures() admin.Figures {
 	f := d.b.figures
@@ -52,31 +54,5 @@
 	return to
 }
 
-// Exclude takes a host out: first where calls are given to it, then where they are written.
-func (d door) Exclude(member string) error {
-	id := policy.CacheID(member)
-	known, held := false, false
-	d.b.decide(func() { known, held = d.b.module.Exclude(id) })
-	switch {
-	case !known:
-		return admin.ErrNobody
-	case !held:
-		return admin.ErrTooMany
-	}
-	d.b.hosts.Exclude(id)
-	d.b.log.Info().Str("host", member).Msg("taken out by hand")
-	return nil
-}
-
-// Include puts it back, the other way round.
-func (d door) Include(member string) error {
-	id := policy.CacheID(member)
-	known := false
-	d.b.hosts.Include(id)
-	d.b.decide(func() { known = d.b.module.Include(id) })
-	if !known {
-		return admin.ErrNobody
-	}
-	d.b.log.Info().Str("host", member).Msg("put back by hand")
-	return nil
-}
+func (d door) Exclude(member string) error { return d.b.ban(policy.CacheID(member), true) }
+func (d door) Include(member string) error { return d.b.ban(policy.CacheID(member), false) }
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -8,20 +8,29 @@
 
 	"streamrail/internal/deployment"
 	"streamrail/internal/discovery"
+	"streamrail/internal/handover"
 	"streamrail/policy"
 )
 
-// restore takes the list as this balancer had it before its start.
-func (b *Balancer) restore() {
+// restore takes the list as this balancer had it before its start: as an older process has it now, or as it was told.
+func (b *Balancer) restore(from *handover.State) {
 	var l discovery.List
-	if len(b.told.Known) > 0 && string(b.told.Known) != "null" {
+	known := b.told.Known
+	if from != nil {
+		known = from.List
+	}
+	if len(known) > 0 && string(known) != "null" {
 		var err error
-		if l, err = b.names().Parse(b.told.Known); err != nil {
+		if l, err = b.names().Parse(known); err != nil {
 			b.log.Warn().Err(err).Str("key", "known").Msg("the list last known is not readable, left out")
 			l = discovery.List{}
 		}
 	}
+	b.source.keep(l)
 	b.listed(policy.ListRestored, l)
+	if from != nil && len(l.Hosts) > 0 {
+		b.source.once.Do(func() { close(b.source.first) }) // it is the present one
+	}
 	if len(l.Hosts) > 0 && b.told.Terms.MustSubscribe { // each call loads discovery: only what changed since is asked for
 		b.source.known = &l.Generation
 		b.source.once.Do(func() { close(b.source.first) }) // the module asks when it sees fit
@@ -49,7 +58,8 @@
 	stop  context.CancelFunc // ends the watch there; nil before the first
 	first chan struct{}      // closed once there is a list
 	once  sync.Once
-	known *int64 // version of the list from before the start, where the watch goes on from it
+	list  discovery.List // as it is known now
+	known *int64         // version of the list from before the start, where the watch goes on from it
 }
 
 func (b *Balancer) names() discovery.Names {
@@ -136,6 +146,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	b.source.keep(l)
 	if l.Whole {
 		b.listed(policy.ListReplace, l)
 	} else if len(l.Hosts) > 0 {
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -55,7 +55,7 @@
 
 // Run takes the balancer through its phases and returns when it has stopped.
 func (b *Balancer) Run() error {
-	listener, err := net.Listen("tcp", b.told.Listen)
+	listener, from, err := b.listen()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -67,8 +67,10 @@
 		}
 		defer admin.Open(l, door{b}).Close()
 	}
+	defer b.leaveSeat()
 	defer b.end()
-	b.restore()
+	b.restore(from)
+	b.takeOver(from)
 	b.watch()
 	select {
 	case <-b.source.first:
@@ -78,6 +80,7 @@
 	}
 	b.enter(Serving)
 	go b.accept(listener)
+	b.takeSeat(listener)
 	report := time.NewTicker(reportEvery)
 	defer report.Stop()
 	for b.in() == Serving {
@@ -88,6 +91,10 @@
 		}
 	}
 	end := time.After(min(b.told.ClientTimeout, longest) + beyond)
+	if b.in() == Leaving && b.upgrade.heirReady.Load() { // the socket stays open there: nobody is turned back
+		listener.Close()
+		b.enter(Draining)
+	}
 	if b.in() == Leaving {
 		b.leaving()
 	}
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -152,7 +152,7 @@
 		return c.say(memcache.NotServing)
 	}
 	call.Command = cmd
-	started, admitted := false, b.open.Add(1) <= b.mostInHand && b.clients.room()
+	started, admitted := false, b.open.Add(1) <= b.mostInHand.Load() && b.clients.room()
 	admitted = admitted && (!cmd.Write || fault != nil || call.hold(cmd.Length))
 	defer func() {
 		if !started {
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -52,7 +52,7 @@
 func TestUnknownNames(t *testing.T) {
 	b, c, peer := stand(t)
 	b.told.Customers = map[string]policy.Customer{"acme": 0}
-	b.mostInHand = 1
+	b.mostInHand.Store(1)
 	in := bufio.NewReader(peer)
 	for _, row := range [][2]string{{"Pc=none,t=acme,d=9", "CLIENT_ERROR unknown product\r\n"},
 		{"Pc=pay,t=none,d=9", "CLIENT_ERROR unknown customer\r\n"}, {"Pc=pay,d=9", "CLIENT_ERROR unknown customer\r\n"}} {
@@ -70,7 +70,7 @@
 // the next command is found: held in memory, values would get the balancer killed with all that it holds.
 func TestHandsFull(t *testing.T) {
 	b, c, peer := stand(t) // its limit is none at all
-	b.mostHeld = 100
+	b.mostHeld.Store(100)
 	io.WriteString(peer, "ms k 7 O1 Pc=pay,d=900\r\nmn\r\nmn\r\r\nmn\r\n")
 	if !b.command(c) || !b.command(c) {
 		t.Fatal("the connection ends")
@@ -81,7 +81,8 @@
 			t.Errorf("got %q, expected %q", got, want)
 		}
 	}
-	b.mostInHand, b.mostHeld = 9, 6 // no room for the value's bytes
+	b.mostInHand.Store(9)
+	b.mostHeld.Store(6) // no room for the value's bytes
 	io.WriteString(peer, "ms k 7 O1 Pc=pay,d=900\r\n1234567\r\n")
 	if !b.command(c) {
 		t.Fatal("the connection ends")
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/shoot.go
@@ -22,7 +22,7 @@
 
 // hold takes memory for a value until the API call is left; false where there is no room for it.
 func (c *call) hold(bytes int) bool {
-	if c.b.held.Add(int64(bytes)) > c.b.mostHeld {
+	if c.b.held.Add(int64(bytes)) > c.b.mostHeld.Load() {
 		c.b.held.Add(-int64(bytes))
 		return false
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -81,6 +81,41 @@
 	return l, nil
 }
 
+// Format writes a list as Parse reads it.
+func (n Names) Format(l List) []byte {
+	type instance struct {
+		InstanceID  string  `json:"instanceId"`
+		HostPort    string  `json:"hostPort"`
+		Zone        string  `json:"zone"`
+		MachineType string  `json:"machineType"`
+		Cell        int     `json:"cell"`
+		Lifecycle   string  `json:"lifecycle"`
+		Weight      float64 `json:"weight"`
+		StartedAtMs int64   `json:"startedAtMs"`
+	}
+	body := struct {
+		Generation int64      `json:"generation"`
+		Reset      bool       `json:"reset"`
+		Instances  []instance `json:"instances"`
+	}{Generation: l.Generation, Reset: l.Whole, Instances: []instance{}}
+	for _, h := range l.Hosts {
+		body.Instances = append(body.Instances, instance{string(h.Cache), h.Addr, nameOf(n.Zones, h.Zone), nameOf(n.Kinds, h.Kind),
+			int(h.Cell), nameOf(conditions, h.Condition), h.Size, int64(h.Born / policy.Millisecond)})
+	}
+	text, _ := json.Marshal(body)
+	return text
+}
+
+// nameOf is empty where nothing has that place, which Parse takes for a place of its own.
+func nameOf[T comparable](names map[string]T, of T) string {
+	for name, v := range names {
+		if v == of {
+			return name
+		}
+	}
+	return ""
+}
+
 const (
 	watchFor  = 10 * time.Second // what one call may wait
 	connectIn = time.Second      // the agent is on this machine
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -158,6 +158,9 @@
 	h.leaving = false
 }
 
+// Limit sets the bound on all connections anew. What is open beyond it goes as it comes free.
+func (p *Pool) Limit(most int) { p.terms.Most = most }
+
 // Leaves hears that a host drains or is gone: nothing new goes over its connections.
 func (p *Pool) Leaves(id Host) {
 	h := p.hosts[id]
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -300,6 +300,13 @@
 	return !h.told.IsZero() && time.Since(h.told) > hs.limits.Grace
 }
 
+// Limit sets the bound on all connections anew.
+func (hs *Hosts) Limit(most int) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	hs.pool.Limit(most)
+}
+
 // Open is the number of connections.
 func (hs *Hosts) Open() int {
 	hs.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -470,7 +470,7 @@
 	if !c.Write {
 		most = max(1, 0.75*most)
 	}
-	return float64(b.origin.out) < most && b.host.Now() >= b.origin.restUntil
+	return float64(b.origin.out+b.beside) < most && b.host.Now() >= b.origin.restUntil
 }
 
 // askOrigin sends to the origin as much as it is seen to bear; reads leave a quarter of that to writes.
@@ -530,6 +530,9 @@
 	span := min(window, max(healthSlot, b.host.Now()-b.began))
 	perS := b.done.total(b.host.Now()) / span.seconds() * h.weight
 	least := leastOut / float64(b.terms.Balancers) / b.terms.FallWindow.seconds()
+	if b.paired { // both have a least; the rest follows what each does
+		least /= 2
+	}
 	return max(coldSafety*b.terms.FallMultiple*w*perS, least)
 }
 
@@ -859,20 +862,25 @@
 // up tells that a host may be sent to: the list names it so and nobody has taken it out.
 func (b *Balancer) up(h *cache) bool { return h.Condition == Up && !b.out[h.Cache] }
 
-// knows tells whether an id is a cache's, listed or out by hand; the origin is none.
-func (b *Balancer) knows(id CacheID) bool {
+// Knows tells whether an id is a cache's, listed or out by hand; the origin is none.
+func (b *Balancer) Knows(id CacheID) bool {
 	h := b.caches[id]
 	return b.out[id] || h != nil && h != b.origin
 }
 
 // Exclude takes a cache out by hand until Include: no list lifts that, nor its leaving the list.
 func (b *Balancer) Exclude(id CacheID) (known, held bool) {
-	if known = b.knows(id); !known || len(b.out) >= mostExcluded && !b.out[id] {
+	if known = b.Knows(id); !known || len(b.out) >= mostExcluded && !b.out[id] {
 		return known, false
 	}
+	b.Bar(id)
+	return known, true
+}
+
+// Bar is Exclude for what another process has been told, or this one before its start.
+func (b *Balancer) Bar(id CacheID) {
 	b.out[id] = true
 	b.rebuild()
-	return known, true
 }
 
 // mostExcluded bounds the caches out by hand: those that no list names any more stay out. Many times a fleet.
@@ -881,7 +889,7 @@
 // Include puts a cache back. Operators restart it meanwhile: it comes back as one that starts now, whatever
 // the list knows of its start, and nothing learnt of it before holds. One that was not out stays as it is.
 func (b *Balancer) Include(id CacheID) (known bool) {
-	if known = b.knows(id); !b.out[id] {
+	if known = b.Knows(id); !b.out[id] {
 		return known
 	}
 	delete(b.out, id)
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 )
 
@@ -39,6 +40,8 @@
 	out                map[CacheID]bool // taken out by hand, whatever the list says
 	retrying, noted    bool             // noted: caches tell hits from misses
 	owing              bool             // some cache's owed may be set
+	beside             int              // shots out at the origin from the other process of an upgrade
+	paired             bool             // there is one
 }
 
 // cache is a cache host, or the origin.
@@ -216,3 +219,65 @@
 func (b *Balancer) unmetFor(c *call) [2]*meter {
 	return [2]*meter{&b.unmetOf[int(c.Customer)%len(b.unmetOf)], &b.unmetBy[c.Product]}
 }
+
+// Learnt is what a newer process takes over of what an older one has learnt.
+type Learnt struct {
+	FleetBears, Origin float64
+	Caches             []LearntOf
+}
+
+// LearntOf is of one cache.
+type LearntOf struct {
+	Cache     CacheID
+	Limit     float64
+	Good, Bad float64
+	Back      Nanos
+}
+
+// Tell gives what there is to take over.
+func (b *Balancer) Tell() Learnt {
+	l := Learnt{FleetBears: b.fleetBears, Origin: b.origin.limit}
+	for _, h := range b.caches {
+		if h == b.origin {
+			continue
+		}
+		good, bad := h.health.faded(b.host.Now())
+		l.Caches = append(l.Caches, LearntOf{h.Cache, h.limit, good, bad, h.back})
+	}
+	slices.SortFunc(l.Caches, func(x, y LearntOf) int { return cmp.Compare(x.Cache, y.Cache) })
+	return l
+}
+
+// TakeOver takes it, after the list and before the first API call.
+func (b *Balancer) TakeOver(l Learnt) {
+	now := b.host.Now()
+	sane := func(limit, old float64) float64 {
+		if limit > 0 && limit <= mostOut {
+			return limit
+		}
+		return old
+	}
+	b.fleetBears, b.origin.limit = sane(l.FleetBears, b.fleetBears), sane(l.Origin, b.origin.limit)
+	for _, x := range l.Caches {
+		h := b.caches[x.Cache]
+		if h == nil || h == b.origin {
+			continue
+		}
+		h.limit, h.back = sane(x.Limit, h.limit), min(x.Back, now)
+		if x.Good >= 0 && x.Bad >= 0 {
+			for _, m := range []*meter{&h.health, b.zones[h.Zone], &b.all} {
+				m.add(now, x.Good, x.Bad)
+			}
+		}
+	}
+	b.weigh()
+}
+
+// Excluded are the caches that are out by hand, in order.
+func (b *Balancer) Excluded() []CacheID { return slices.Sorted(maps.Keys(b.out)) }
+
+// Beside hears what the other process of an upgrade has out at the origin; where paired is false there is none any more.
+func (b *Balancer) Beside(paired bool, atOrigin int) { b.paired, b.beside = paired, atOrigin }
+
+// AtOrigin is what this process has out there.
+func (b *Balancer) AtOrigin() int { return b.origin.out }
