--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -9,25 +9,33 @@
 
 // clients are the connections that clients hold.
 type clients struct {
-	mu   sync.Mutex
-	all  map[*client]struct{}
-	most int // are served
-	open int // are accepted: some more, so that each gets a prompt answer instead of silence
-	shut bool
-	none chan struct{} // closed once the listener is closed and all have left
-	left chan struct{} // one has left
+	mu     sync.Mutex
+	all    map[*client]struct{}
+	seated int // of these, served
+	most   int // may be
+	open   int // are accepted: some more, so that each gets a prompt answer instead of silence
+	shut   bool
+	none   chan struct{} // closed once the listener is closed and all have left
+	left   chan struct{} // one has left
 }
 
 func newClients(most, open int) *clients {
 	return &clients{all: map[*client]struct{}{}, most: most, open: open, none: make(chan struct{}), left: make(chan struct{}, 1)}
 }
 
-// idleLeast is how long a connection that has carried an API call stands idle before it may make room, as the
-// operators allow it: one that was answered just now often has its next command on the way. One that has carried
-// none yet was opened for a command that follows at once; after silentLeast it is taken for one that says nothing.
+// idleMost is how long a connection that has carried an API call stands idle at the most, as the operators allow it: some
+// clients ask once and never close, and hold connections that they could open elsewhere.
+const idleMost = 2050 * time.Millisecond
+
+// Over the bound connections make room before their time, but none before this:
 const (
-	idleLeast   = 2 * time.Second
-	silentLeast = 100 * time.Millisecond
+	// One that has carried no command was opened for one that follows at once; after this it says nothing.
+	silentLeast = 40 * time.Millisecond
+	// One that was answered just now often has its next command on the way: a few turns of the network, and of a client.
+	idleLeast = 20 * time.Millisecond
+	// One within a command is a slow client's, who writes in pieces for two seconds, or will never end. Pieces come a good
+	// part of a second apart at the most.
+	stalledLeast = time.Second
 )
 
 // limit sets the bounds anew. What is open beyond them makes room as more come.
@@ -44,52 +52,92 @@
 	return len(cs.all) >= cs.open
 }
 
-// enter counts a connection in.
+// enter counts a connection in, and seats it if there is room.
 func (cs *clients) enter(c *client) {
 	cs.mu.Lock()
 	cs.all[c] = struct{}{}
 	cs.mu.Unlock()
-	cs.room()
+	cs.room(c)
 }
 
-// room tells whether all that are open may be served. Over the limit one makes room: of those that have carried
-// no API call yet, which may be silent or talk nonsense for good, the oldest, else the one that is idle longest.
-// Where all are in use what comes is turned away for now.
-func (cs *clients) room() bool {
+// room tells whether a connection is among those that are served; it is from the first time on that there is room. Where
+// all places are taken one makes room: of those that have said nothing yet, or nothing of use, the oldest, else the one
+// that is idle longest, else the one that has stopped within a command for longest. Where all are in use what comes is
+// turned away for now. With none to serve one of all makes room for those that wait to be accepted.
+func (cs *clients) room(c *client) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if len(cs.all) <= cs.most {
+	if c != nil && (c.seated || cs.seated < cs.most) {
+		cs.seat(c, true)
 		return true
 	}
-	var leaves, idle *client
-	now := time.Now()
-	silentSince, idleSince := now.Add(-silentLeast).UnixNano(), now.Add(-idleLeast).UnixNano()
+	now := time.Now().UnixNano()
+	var leaves *client
+	least, since := inHand, int64(0)
 	for o := range cs.all {
-		at := o.idleSince.Load()
-		switch {
-		case at == 0:
-		case !o.proven.Load() && at < silentSince:
-			leaves, silentSince = o, at
-		case o.proven.Load() && at < idleSince:
-			idle, idleSince = o, at
+		if o.outOfRoom.Load() || c != nil && !o.seated {
+			continue
+		}
+		at, from, after := o.at()
+		if at < inHand && now-from >= int64(after) && (at < least || at == least && from < since) {
+			leaves, least, since = o, at, from
 		}
-	}
-	if leaves == nil {
-		leaves = idle
 	}
 	if leaves == nil {
 		return false
 	}
-	leaves.idleSince.Store(0) // none is told twice
 	leaves.outOfRoom.Store(true)
 	leaves.wake()
+	cs.seat(leaves, false)
+	if c != nil {
+		cs.seat(c, true)
+	}
 	return true
 }
 
+func (cs *clients) seat(c *client, on bool) {
+	if c.seated != on {
+		c.seated = on
+		if on {
+			cs.seated++
+		} else {
+			cs.seated--
+		}
+	}
+}
+
+// stage is where a connection stands, in the order in which they make room.
+type stage int
+
+const (
+	silent stage = iota
+	idle
+	within
+	inHand
+)
+
+// at tells the stage, since when, and how long that is to be left alone.
+func (c *client) at() (at stage, since int64, least time.Duration) {
+	switch {
+	case len(c.behind) > 0:
+		return inHand, 0, 0
+	case c.within.Load():
+		return within, c.lastRead().UnixNano(), stalledLeast
+	}
+	switch since = c.idleSince.Load(); {
+	case since == 0: // it changes over just now
+		return inHand, 0, 0
+	case !c.proven.Load(): // nothing, or no API call
+		return silent, since, silentLeast
+	}
+	return idle, since, idleLeast
+}
+
 func (cs *clients) leave(c *client) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	delete(cs.all, c)
+	cs.seat(c, false)
 	select {
 	case cs.left <- struct{}{}:
 	default:
@@ -140,7 +188,7 @@
 			select {
 			case <-b.clients.left:
 			case <-time.After(20 * time.Millisecond):
-				b.clients.room() // for one of those that wait to be taken
+				b.clients.room(nil) // for one of those that wait to be taken
 			}
 		}
 		conn, err := listener.Accept()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -70,9 +70,10 @@
 		figures: newFigures(told),
 		clients: newClients(room/2-room/16, room/2),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
-			Most: room / 2, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
+			Most: room * upstreamPart / 8, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
-	b.whole = holds{clients: int64(room / 2), upstream: int64(room / 2), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
+	up := room * upstreamPart / 8
+	b.whole = holds{clients: int64(room - up), upstream: int64(up), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
 		bytes: int64(told.MemoryMB) << 20 / part}
 	b.limit(b.whole)
 	debug.SetMemoryLimit(b.memory())
@@ -85,6 +86,9 @@
 }
 
 const (
+	// upstreamPart is the eighths of the room for connections to hosts. Clients hold a third of the descriptors at most
+	// for API calls, and each of those needs one to a host; what else connects stands on the clients' side.
+	upstreamPart = 3
 	ownSockets   = 16       // descriptors for the listener, discovery, logs and the runtime: seven, and some to spare
 	part         = 4        // of the memory for API calls in hand, and as much for their values
 	callBytes    = 32 << 10 // stacks and buffers of one with its two connections
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -19,13 +19,14 @@
 	net       net.Conn
 	in        *bufio.Reader
 	opened    time.Time
-	readAt    time.Time     // when the last bytes came
+	readAt    atomic.Int64  // nanoseconds after opened, when the last bytes came
 	due       time.Time     // when the command that has begun must be whole
 	within    atomic.Bool   // a command has begun to come
 	used      atomic.Bool   // it has carried a command
 	proven    atomic.Bool   // it has carried an API call, if only one that was turned away
 	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
 	outOfRoom atomic.Bool   // it makes room for others
+	seated    bool          // it is served; under the mu of clients
 	gone      chan struct{} // closed when the client has gone away
 	last      chan struct{} // closed when the last command is answered
 	behind    chan struct{} // holds one for each API call in hand
@@ -34,11 +35,8 @@
 const (
 	commandWait = 2500 * time.Millisecond // for the whole of a command
 	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
-	// Between commands: some clients ask once and never close. Clients too may hold only so many connections, and
-	// those that stand idle keep them from opening one that they need.
-	idleMost   = idleLeast + 50*time.Millisecond
-	lastLook   = time.Millisecond
-	mostBehind = 32 // API calls of one connection in hand
+	lastLook    = time.Millisecond
+	mostBehind  = 32 // API calls of one connection in hand
 )
 
 func newClient(conn net.Conn) *client {
@@ -62,16 +60,19 @@
 // Read notes the time, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
 	n, err := c.net.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && time.Now().Before(c.due) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && !c.outOfRoom.Load() && time.Now().Before(c.due) {
 		c.net.SetReadDeadline(c.due)
 		n, err = c.net.Read(p)
 	}
 	if n > 0 {
-		c.readAt = time.Now()
+		c.readAt.Store(int64(time.Since(c.opened)))
 	}
 	return n, err
 }
 
+// lastRead is when the last bytes came.
+func (c *client) lastRead() time.Time { return c.opened.Add(time.Duration(c.readAt.Load())) }
+
 // until tells when the next command must have begun to come; while an answer is due that moves on.
 func (c *client) until(p Phase) time.Time {
 	at := c.idleSince.Load()
@@ -139,7 +140,7 @@
 		return c.lost(err)
 	}
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
-	call := &call{client: c, b: b, arrived: c.readAt}
+	call := &call{client: c, b: b, arrived: c.lastRead()}
 	cmd, fault := memcache.Parse(append(call.line[:0], line...))
 	switch {
 	case fault == memcache.Quit:
@@ -152,7 +153,7 @@
 		return c.say(memcache.NotServing)
 	}
 	call.Command = cmd
-	started, admitted := false, b.open.Add(1) <= b.mostInHand.Load() && b.clients.room()
+	started, admitted := false, b.open.Add(1) <= b.mostInHand.Load() && b.clients.room(c)
 	admitted = admitted && (!cmd.Write || fault != nil || call.hold(cmd.Length))
 	defer func() {
 		if !started {
@@ -168,7 +169,7 @@
 		if !whole {
 			return c.part(memcache.BadChunk.Line())
 		}
-		call.arrived = c.readAt
+		call.arrived = c.lastRead()
 	}
 	if fault == nil {
 		fault = b.place(call)
