--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -17,6 +17,7 @@
 	client   *client
 	line     [256]byte // where the command's line is kept, if it fits
 	value    []byte
+	upload   *upload // a long value, which comes while the API call lives
 	product  policy.Product
 	customer policy.Customer
 	arrived  time.Time
@@ -56,6 +57,9 @@
 func (b *Balancer) live(c *call) {
 	defer b.leave(c)
 	left := c.Left - wayBack - time.Since(c.arrived)
+	if c.upload != nil { // its time runs from the last byte on, which is still to come
+		left = c.Left + uploadMost
+	}
 	if left <= 0 { // it waited behind others for all of its time; nothing ran
 		c.rateLimit(order{})
 		return
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"streamrail/internal/memcache"
+	"streamrail/internal/upstream"
 	"streamrail/policy"
 )
 
@@ -154,14 +155,24 @@
 	}
 	call.Command = cmd
 	started, admitted := false, b.open.Add(1) <= b.mostInHand.Load() && b.clients.room(c)
-	admitted = admitted && (!cmd.Write || fault != nil || call.hold(cmd.Length))
+	long := cmd.Write && fault == nil && cmd.Length > upstream.Whole
+	room := cmd.Length
+	if long {
+		room = upstream.PieceBytes
+	}
+	admitted = admitted && (!cmd.Write || fault != nil || call.hold(room))
 	defer func() {
 		if !started {
 			b.open.Add(-1)
 			b.held.Add(-call.held.Load())
 		}
 	}()
-	if cmd.Write {
+	if long {
+		fault = b.place(call)
+	}
+	if long = long && fault == nil && admitted && b.claim(call); long {
+		call.upload = newUpload(call)
+	} else if cmd.Write {
 		whole, err := call.readValue(admitted && fault == nil)
 		if err != nil {
 			return c.lost(err)
@@ -174,7 +185,7 @@
 	if fault == nil {
 		fault = b.place(call)
 	}
-	if fault == nil && admitted && !b.claim(call) {
+	if fault == nil && admitted && !long && !b.claim(call) {
 		fault = memcache.IDInHand
 	}
 	if fault != nil {
@@ -194,6 +205,9 @@
 	c.last = call.answered
 	c.behind <- struct{}{}
 	b.start(call)
+	if long {
+		return call.upload.rest()
+	}
 	return true
 }
 
@@ -227,6 +241,7 @@
 // readValue reads a write's value, or passes over it; whole tells that its line end stands where it should.
 func (c *call) readValue(keep bool) (whole bool, err error) {
 	in := c.client.in
+	c.client.patient()
 	if !keep {
 		if _, err = in.Discard(c.Length); err != nil {
 			return false, err
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/shoot.go
@@ -11,7 +11,11 @@
 	n, sent := len(c.shots), time.Now()
 	s := &upstream.Shot{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time))}
 	s.Room = c.hold
-	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent)} }
+	s.Pass = c.pass
+	if c.upload != nil {
+		s.Upload = &c.upload.Upload
+	}
+	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent) - r.Peer} }
 	c.shots = append(c.shots, s)
 	c.out++
 	c.b.hosts.Shoot(s)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -182,7 +182,7 @@
 	if _, err = conn.Write(httpwire.AppendRequest(nil, "GET", target, w.Addr, -1)); err != nil {
 		return l, err
 	}
-	r, err := httpwire.Read(w.in, mostBytes, func(int) bool { return true })
+	r, err := httpwire.Read(w.in, mostBytes, mostBytes, func(int) bool { return true })
 	if err != nil {
 		return l, err
 	}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -15,6 +15,7 @@
 	NotProcessed bool // it never ran
 	Close        bool // the connection ends with it
 	Body         []byte
+	Coming       int // bytes of a long body, which the caller reads; Body is empty
 }
 
 var (
@@ -71,8 +72,9 @@
 	return to
 }
 
-// Read parses one response, with a body of at most so many bytes. It asks for room for them before they are held.
-func Read(in *bufio.Reader, most int, room func(bytes int) bool) (r Response, err error) {
+// Read parses one response, with a body of at most so many bytes. It asks for room for them before they are held. The body
+// of a response with status 200 that is longer than whole is left to the caller, if its length is told.
+func Read(in *bufio.Reader, most, whole int, room func(bytes int) bool) (r Response, err error) {
 	for range mostInterim + 1 {
 		var chunked bool
 		length := -1
@@ -89,6 +91,8 @@
 		case r.Status == 204 || r.Status == 304:
 		case chunked:
 			r.Body, err = chunks(in, most, room)
+		case r.Status == 200 && length > whole && length <= most:
+			r.Coming = length
 		case length > most || length > 0 && !room(length):
 			return r, ErrTooLarge
 		case length >= 0:
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -12,7 +12,7 @@
 
 const (
 	MostLine  = 2048    // bytes of a command's or an answer's line; keys hold 250 at most
-	MostValue = 1 << 20 // bytes of a value, as memcached has it unless told otherwise
+	MostValue = 4 << 20 // bytes of a value, the longest that operators have
 	mostKey   = 250
 )
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -94,8 +94,16 @@
 		c.net.SetWriteDeadline(s.Until)
 		defer c.net.SetWriteDeadline(time.Time{})
 	}
-	if !c.write(s) {
-		return Result{Outcome: policy.ConnectFailed}, false, false
+	if s.Upload != nil && !s.Upload.Take() { // another shot has had the value
+		return Result{Outcome: policy.NeverSent}, false, true
+	}
+	began := time.Now()
+	if o := c.write(s); o != policy.Fulfilled {
+		return Result{Outcome: o}, false, false
+	}
+	var peer time.Duration
+	if s.Upload != nil {
+		peer = time.Since(began)
 	}
 	c.hosts.sent.Add(1)
 	r, keep, err := c.read(s)
@@ -107,6 +115,7 @@
 	case err != nil:
 		r = Result{Outcome: policy.Spoilt}
 	}
+	r.Peer += peer
 	return r, true, keep && err == nil
 }
 
@@ -119,15 +128,15 @@
 	return errors.As(err, &fromNet) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// write tells whether the last byte of a shot was written, that is, whether it may run.
-func (c *conn) write(s *Shot) (whole bool) {
+// write tells by Fulfilled that the last byte of a shot was written, that is, that it may run.
+func (c *conn) write(s *Shot) policy.Outcome {
 	c.head = c.head[:0]
 	cmd := s.Command
 	parts := net.Buffers{nil}
 	if c.host.isOrigin {
 		method, length := "GET", -1
 		if cmd.Write {
-			method, length = "PUT", len(s.Value)
+			method, length = "PUT", cmd.Length
 			parts = append(parts, s.Value)
 		}
 		path := httpwire.AppendPath(nil, cmd.Key)
@@ -139,17 +148,29 @@
 			parts = append(parts, s.Value, []byte("\r\n"))
 		}
 	}
+	if s.Upload != nil {
+		var tail []byte
+		if !c.host.isOrigin {
+			tail = parts[2]
+		}
+		return c.upload(s, c.head, tail)
+	}
 	parts[0] = c.head
 	total := int64(0)
 	for _, p := range parts {
 		total += int64(len(p))
 	}
+	n := int64(0)
 	if len(parts) == 1 {
-		n, _ := c.net.Write(c.head)
-		return int64(n) == total
+		written, _ := c.net.Write(c.head)
+		n = int64(written)
+	} else {
+		n, _ = parts.WriteTo(c.net)
 	}
-	n, _ := parts.WriteTo(c.net)
-	return n == total
+	if n != total {
+		return policy.ConnectFailed
+	}
+	return policy.Fulfilled
 }
 
 var (
@@ -191,6 +212,9 @@
 		return r, false, errGarbage
 	}
 	if a.Reply == memcache.Value {
+		if a.Length > Whole {
+			return c.pass(s, r, a.Length, c.lineEnd)
+		}
 		if !s.Room(a.Length + 2) {
 			return r, false, errNoRoom
 		}
@@ -206,11 +230,31 @@
 	return r, true, nil
 }
 
+// lineEnd reads what follows a value.
+func (c *conn) lineEnd() error {
+	var end [2]byte
+	if _, err := io.ReadFull(c.in, end[:]); err != nil {
+		return err
+	}
+	if string(end[:]) != "\r\n" {
+		return errGarbage
+	}
+	return nil
+}
+
 func (c *conn) readOrigin(s *Shot) (r Result, keep bool, err error) {
-	resp, err := httpwire.Read(c.in, memcache.MostValue, s.Room)
+	whole := Whole
+	if s.Command.Write {
+		whole = memcache.MostValue // it is a receipt, or the body of an error
+	}
+	resp, err := httpwire.Read(c.in, memcache.MostValue, whole, s.Room)
 	if err != nil {
 		return r, false, err
 	}
+	if resp.Coming > 0 {
+		r, keep, err = c.pass(s, r, resp.Coming, func() error { return nil })
+		return r, keep && !resp.Close, err
+	}
 	switch {
 	case resp.Status == 200 && (!s.Command.Write || memcache.IsReceipt(resp.Body)):
 		r.Body = resp.Body
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"streamrail/policy"
+)
+
+const (
+	// Whole is the longest value that is held whole; a longer one streams. The platform times the first bytes of longer ones.
+	Whole = 64 << 10
+	// PieceBytes is the buffer of one that streams.
+	PieceBytes = 32 << 10
+	// PieceWait is how long a peer may give or take nothing within a value: slow ones pause, but not for so long.
+	PieceWait = 5 * time.Second
+)
+
+// Upload is a long value that is still coming. One shot takes it; it reads In to its end or not at all any more.
+type Upload struct {
+	Length int
+	In     io.Reader            // ends with an error where the value is not whole
+	Left   func() time.Duration // for the answer, once the last byte has come
+	taken  atomic.Bool
+	Ended  chan struct{} // closed once nobody reads In any more; by who has taken it
+}
+
+// Take makes the caller the one who reads, or who says that nobody will; false where another is.
+func (u *Upload) Take() bool { return !u.taken.Swap(true) }
+
+var pieces = sync.Pool{New: func() any { return new([PieceBytes]byte) }}
+
+// Copy moves exactly so many bytes. Told tells whether the reader was at fault.
+func Copy(to io.Writer, from io.Reader, length int) (readerFault bool, err error) {
+	buffer := pieces.Get().(*[PieceBytes]byte)
+	defer pieces.Put(buffer)
+	for length > 0 {
+		n, err := from.Read(buffer[:min(length, PieceBytes)])
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return false, err
+			}
+			length -= n
+		}
+		if err == io.EOF && length > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil && length > 0 {
+			return true, err
+		}
+	}
+	return false, nil
+}
+
+// Patient moves a connection's time limits on with each piece.
+type Patient struct{ net.Conn }
+
+func (p Patient) Read(b []byte) (int, error) {
+	p.SetReadDeadline(time.Now().Add(PieceWait))
+	return p.Conn.Read(b)
+}
+
+func (p Patient) Write(b []byte) (int, error) {
+	p.SetWriteDeadline(time.Now().Add(PieceWait))
+	return p.Conn.Write(b)
+}
+
+// Value is a long one as it comes from a host.
+type Value struct {
+	Length int
+	c      *conn
+	end    func() error // reads what follows it
+	err    error        // the host's fault
+}
+
+func (v *Value) Read(p []byte) (n int, err error) {
+	v.c.net.SetReadDeadline(time.Now().Add(PieceWait))
+	n, err = v.c.in.Read(p)
+	if err != nil {
+		v.err = err
+	}
+	return n, err
+}
+
+// End tells whether the value has ended as it should. What follows it belongs to nobody.
+func (v *Value) End() error {
+	if v.err == nil {
+		v.c.net.SetReadDeadline(time.Now().Add(PieceWait))
+		v.err = v.end()
+	}
+	return v.err
+}
+
+// pass hands a long value on as it comes. A client that does not take it is no fault of the host's, but the connection is
+// of no more use.
+func (c *conn) pass(s *Shot, r Result, length int, end func() error) (Result, bool, error) {
+	if !s.Room(PieceBytes) {
+		return r, false, errNoRoom
+	}
+	v, began := &Value{Length: length, c: c, end: end}, time.Now()
+	whole := s.Pass(v)
+	r.Peer = time.Since(began)
+	return r, whole, v.err
+}
+
+// upload writes a long value as it comes from the client; the outcome is Fulfilled where its last byte was written.
+func (c *conn) upload(s *Shot, head, tail []byte) policy.Outcome {
+	defer close(s.Upload.Ended)
+	to := Patient{c.net}
+	if _, err := to.Write(head); err != nil {
+		return policy.ConnectFailed
+	}
+	if readerFault, err := Copy(to, s.Upload.In, s.Upload.Length); readerFault {
+		return policy.NeverSent // the host is not to blame
+	} else if err != nil {
+		return policy.ConnectFailed
+	}
+	if len(tail) > 0 {
+		if _, err := to.Write(tail); err != nil {
+			return policy.ConnectFailed
+		}
+	}
+	c.net.SetReadDeadline(time.Now().Add(s.Upload.Left()))
+	return policy.Fulfilled
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,16 +20,19 @@
 type Result struct {
 	Outcome policy.Outcome
 	Note    int
-	Body    []byte // the value, or a write's receipt
+	Body    []byte        // the value, or a write's receipt; not of a value that was passed on
+	Peer    time.Duration // of its time, what a long value took at the client's pace
 }
 
 // Shot is one order to send. It ends once, through Done, which must not block.
 type Shot struct {
 	To      policy.CacheID
 	Command *memcache.Command
-	Value   []byte // of a write
+	Value   []byte  // of a write
+	Upload  *Upload // the same, where it is long and still coming
 	Until   time.Time
-	Room    func(bytes int) bool // is asked before a value is held
+	Room    func(bytes int) bool      // is asked before a value is held
+	Pass    func(*Value) (whole bool) // takes a long value to its end, or not; it may block
 	Done    func(Result)
 
 	hosts *Hosts
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -264,6 +264,14 @@
 	}
 }
 
+// Came hears that the last byte of a long write has come: the client's time runs from now.
+func (b *Balancer) Came(id CallID, left Nanos) {
+	if c := b.calls[id]; c != nil && !c.over {
+		c.Left = b.host.Now() - c.began + left
+		b.host.Wake(max(0, left-2*b.terms.Tick), WakeID("e"+id))
+	}
+}
+
 // Woke gets back what Host.Wake was given.
 func (b *Balancer) Woke(id WakeID) {
 	switch id {
