--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -515,15 +515,9 @@
 	cfg := config(d, freeAddr(t), nil)
 	cfg["limits"] = map[string]any{"sockets": 16 + 64} // 35 for clients, five more are answered
 	p := serving(t, cfg)
-	silent := p.dial(t)
-	for i := range 60 {
-		c := p.dial(t)
-		expect(t, c.ask(get("k", fmt.Sprint(i), 900)), fmt.Sprintf("VA 10 O%d|value of k", i))
-		time.Sleep(time.Millisecond) // sixty within less than idleLeast would all be in use
-	}
-	if silent.next() != "EOF" || time.Since(silent.dialed) > time.Second {
-		t.Errorf("the silent connection was closed after %v", time.Since(silent.dialed))
-	}
+	silent, idle := p.dial(t), p.dial(t)
+	expect(t, idle.ask(get("k", "first", 900)), "VA 10 Ofirst|value of k")
+	time.Sleep(50 * time.Millisecond) // more than either is left alone for
 	var slow []*client
 	for i := range 35 {
 		c := p.dial(t)
@@ -532,6 +526,11 @@
 		slow = append(slow, c)
 		time.Sleep(time.Millisecond)
 	}
+	for _, c := range []*client{silent, idle} {
+		if c.next() != "EOF" || time.Since(c.dialed) > time.Second {
+			t.Errorf("the silent one, and the idle one, were closed after %v", time.Since(c.dialed))
+		}
+	}
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) { // idle ones may still make room for it
 		if got := p.dial(t).ask(get("k", "more", 900)); got == "SERVER_ERROR busy" {
 			break
@@ -553,6 +552,31 @@
 	}
 }
 
+// Clients hold only so many connections for API calls. Some ask once and stay: where they hold nearly all, the one idle
+// longest is closed, long before places are wanted here, or the next call finds none to come over.
+func TestClientsOutOfConnections(t *testing.T) {
+	h := newHost(t, "h", hit)
+	d := newList(t)
+	d.set("h", h.addr, "cache", "active")
+	cfg := config(d, freeAddr(t), nil)
+	cfg["limits"] = map[string]any{"sockets": 80} // 20 are kept, 35 have places
+	p := serving(t, cfg)
+	var all []*client
+	for i := range 30 {
+		c := p.dial(t)
+		expect(t, c.ask(get("k", fmt.Sprint(i), 900)), fmt.Sprintf("VA 10 O%d|value of k", i))
+		all = append(all, c)
+		time.Sleep(5 * time.Millisecond)
+	}
+	expect(t, all[0].next(), "EOF")
+	if since := time.Since(all[0].dialed); since > time.Second {
+		t.Errorf("the first was closed after %v", since)
+	}
+	for i, c := range all[15:] { // the later ones are not
+		expect(t, c.ask(get("k", fmt.Sprint("again", i), 900)), fmt.Sprintf("VA 10 Oagain%d|value of k", i))
+	}
+}
+
 // Clients that say nothing, half a command, or ask once and stay: each is closed in time, or they hold all
 // descriptors, the balancer's or the clients' own, and the usual clients find none.
 func TestIdleClients(t *testing.T) {
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -14,13 +14,17 @@
 	seated int // of these, served
 	most   int // may be
 	open   int // are accepted: some more, so that each gets a prompt answer instead of silence
+	proven int // have carried an API call and are not making room
+	kept   int // of those, before idle ones make room
 	shut   bool
 	none   chan struct{} // closed once the listener is closed and all have left
 	left   chan struct{} // one has left
 }
 
-func newClients(most, open int) *clients {
-	return &clients{all: map[*client]struct{}{}, most: most, open: open, none: make(chan struct{}), left: make(chan struct{}, 1)}
+// newClients bounds them by limit. Clients hold a third of the descriptors at most for API calls: kept is to be a good part of
+// that, so that a burst still finds some.
+func newClients(kept int) *clients {
+	return &clients{kept: kept, all: map[*client]struct{}{}, none: make(chan struct{}), left: make(chan struct{}, 1)}
 }
 
 // idleMost is how long a connection that has carried an API call stands idle at the most, as the operators allow it: some
@@ -71,28 +75,65 @@
 		cs.seat(c, true)
 		return true
 	}
+	leaves := cs.first(func(o *client, _ stage) bool { return c == nil || o.seated })
+	if leaves == nil {
+		return false
+	}
+	cs.out(leaves)
+	if c != nil {
+		cs.seat(c, true)
+	}
+	return true
+}
+
+// proves hears that a connection carries an API call. Clients may hold only so many connections for those, and some ask
+// once and stay: where they hold nearly all, an idle one makes room, lest the next API call finds none to come over.
+func (cs *clients) proves(c *client) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	c.proven.Store(true)
+	if !c.counted {
+		c.counted = true
+		cs.proven++
+	}
+	for range 2 { // one for this one, and one of those that were not idle long enough before
+		if cs.proven <= cs.kept {
+			return
+		}
+		if o := cs.first(func(_ *client, at stage) bool { return at == idle }); o != nil {
+			cs.out(o)
+		}
+	}
+}
+
+// first is the connection that makes room first of those that may.
+func (cs *clients) first(may func(*client, stage) bool) (leaves *client) {
 	now := time.Now().UnixNano()
-	var leaves *client
 	least, since := inHand, int64(0)
 	for o := range cs.all {
-		if o.outOfRoom.Load() || c != nil && !o.seated {
-			continue
-		}
 		at, from, after := o.at()
-		if at < inHand && now-from >= int64(after) && (at < least || at == least && from < since) {
+		if at < inHand && !o.outOfRoom.Load() && now-from >= int64(after) && may(o, at) &&
+			(at < least || at == least && from < since) {
 			leaves, least, since = o, at, from
 		}
 	}
-	if leaves == nil {
-		return false
-	}
-	leaves.outOfRoom.Store(true)
-	leaves.wake()
-	cs.seat(leaves, false)
-	if c != nil {
-		cs.seat(c, true)
+	return leaves
+}
+
+// out has a connection make room.
+func (cs *clients) out(c *client) {
+	c.outOfRoom.Store(true)
+	c.wake()
+	cs.uncount(c)
+}
+
+// uncount takes one out of all counts.
+func (cs *clients) uncount(c *client) {
+	cs.seat(c, false)
+	if c.counted {
+		c.counted = false
+		cs.proven--
 	}
-	return true
 }
 
 func (cs *clients) seat(c *client, on bool) {
@@ -137,7 +178,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	delete(cs.all, c)
-	cs.seat(c, false)
+	cs.uncount(c)
 	select {
 	case cs.left <- struct{}{}:
 	default:
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -68,7 +68,7 @@
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:   tally{hosts: map[policy.CacheID]*[2]int64{}},
 		figures: newFigures(told),
-		clients: newClients(room/2-room/16, room/2),
+		clients: newClients(told.Sockets / 4),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
 			Most: room * upstreamPart / 8, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -28,6 +28,7 @@
 	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
 	outOfRoom atomic.Bool   // it makes room for others
 	seated    bool          // it is served; under the mu of clients
+	counted   bool          // among the proven; the same
 	gone      chan struct{} // closed when the client has gone away
 	last      chan struct{} // closed when the last command is answered
 	behind    chan struct{} // holds one for each API call in hand
@@ -191,7 +192,7 @@
 	if fault != nil {
 		return c.say(fault.Line())
 	}
-	c.proven.Store(true)
+	b.clients.proves(c)
 	if !admitted {
 		said := c.say(string(memcache.AppendRateLimited(nil, 0)))
 		if said {
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -28,8 +28,9 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	b := &Balancer{told: &deployment.Deployment{Products: map[string]policy.Product{"pay": 0},
-		Terms: policy.Terms{Products: make([]policy.ProductTerms, 1)}}, clients: newClients(1, 1)}
+		Terms: policy.Terms{Products: make([]policy.ProductTerms, 1)}}, clients: newClients(1)}
 	b.figures = newFigures(b.told)
+	b.clients.limit(1, 1)
 	b.phase.Store(int32(Serving))
 	return b, newClient(conn), peer
 }
