--- a/internal/rehearsal/faults/faults.go
+++ b/internal/rehearsal/faults/faults.go
@@ -20,6 +20,9 @@
 	Restart(balancer int)                  // in order
 	Reload(balancer int) error             // gives it a new configuration that names another register
 	Rude(i int)                            // plays a rude client, and returns when it has ended
+	ByHand(node string, out bool) error    // takes a node out, or puts it back, at every balancer's door
+	Upgrade(balancer int) error            // has a new process take over
+	Stray(i int)                           // plays one connection of a crowd, and returns when it has ended
 }
 
 // Timeline is a day's faults as things to do at moments.
@@ -161,6 +164,31 @@
 		for _, b := range balancers {
 			t.at(from, func() { t.back(t.b.Reload(b)) })
 		}
+	case "by-hand":
+		for _, p := range places {
+			t.at(from, func() { t.back(t.b.ByHand(t.node(p).ID, true)) })
+			t.at((from+to)/2, func() {
+				n := t.node(p)
+				n.Stop()
+				t.back(n.Start(true))
+				t.list(n, model.Active)
+			})
+			t.at(to, func() { t.back(t.b.ByHand(t.node(p).ID, false)) })
+		}
+	case "upgrade":
+		for _, b := range balancers {
+			t.at(from, func() {
+				t.wait.Add(1)
+				go func() { defer t.wait.Done(); t.back(t.b.Upgrade(b)) }()
+			})
+		}
+	case "crowd":
+		for n := range f.Count {
+			t.at(from+f.For.D()*time.Duration(n)/time.Duration(f.Count), func() {
+				t.wait.Add(1)
+				go func() { defer t.wait.Done(); t.b.Stray(n) }()
+			})
+		}
 	case "rude":
 		for n := range f.Count {
 			t.at(from+f.For.D()*time.Duration(n)/time.Duration(f.Count), func() {
@@ -169,7 +197,7 @@
 			})
 		}
 	}
-	if strings.Contains(" slow stall kill vanish link-delay link-cut deploy ", " "+f.Do+" ") {
+	if strings.Contains(" slow stall kill vanish link-delay link-cut deploy by-hand ", " "+f.Do+" ") {
 		about += " " + strings.Join(places, " ")
 	} else if f.Zone != "" || f.Tenant != "" {
 		about += " " + f.Zone + f.Tenant
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -57,6 +57,9 @@
 	Drains      Rule = "nothing new to a draining host"
 	ColdHosts   Rule = "no cold host pushed over"
 	GatewayUp   Rule = "gateway not stopped by cold misses"
+	Used        Rule = "a host put back by hand is used"
+	NoneBack    Rule = "an upgrade turns nobody back"
+	Doors       Rule = "operators are answered in time"
 	RudeEnds    Rule = "nonsense gets an error or a close"
 	Alive       Rule = "no balancer ends unasked"
 )
@@ -69,7 +72,7 @@
 	{OneAnswer, "1 answers"}, {RightAnswer, "1 answers"}, {NothingLate, "1 answers"}, {Prompt, "1 answers"},
 	{NoRepeat, "2 effects"}, {OneEffect, "2 effects"}, {Promise, "2 effects"}, {Alone, "2 effects"},
 	{Drains, "3 drains"}, {ColdHosts, "4 cold hosts"}, {GatewayUp, "4 cold hosts"},
-	{RudeEnds, "service"}, {Alive, "service"},
+	{Used, "service"}, {NoneBack, "service"}, {Doors, "service"}, {RudeEnds, "service"}, {Alive, "service"},
 }
 
 // Breach is one case in which a rule was broken.
@@ -160,6 +163,8 @@
 	c.strangers()
 	c.marks()
 	c.drains()
+	c.byHand()
+	c.upgrades()
 	c.cold()
 	c.gateway()
 	c.rude()
@@ -234,7 +239,7 @@
 	if k.NotTaken {
 		return
 	}
-	if k.Excused && k.Reply == record.Closed {
+	if k.Excused && (k.Reply == record.Closed || k.Reply == record.CutShort) {
 		return // what a balancer held when its end was ordered is the client's to retry
 	}
 	slack := c.terms.Slack
@@ -242,6 +247,9 @@
 	switch {
 	case k.Reply == record.Closed:
 		c.breach(OneAnswer, k.ID, k.Timeout, 0, "its connection was closed with no whole answer")
+	// A value goes on as it comes: what its server broke off cannot be finished, and the client can tell.
+	case k.Reply == record.CutShort && !slices.ContainsFunc(c.shots[k.ID], func(s record.Shot) bool { return !s.Answered }):
+		c.breach(OneAnswer, k.ID, k.Answered, 0, "its value was cut short, and no server had done that")
 	case k.Reply == record.None:
 		c.breach(OneAnswer, k.ID, k.Timeout, 0, "no answer until its client left")
 	case k.Answered > k.Timeout+slack:
@@ -431,18 +439,22 @@
 			continue
 		}
 		var since time.Duration
-		leaving := false
+		leaving, out := false, false
 		for _, t := range told[pair{s.Balancer, s.Server}] {
 			if t.At > s.Began {
 				break
 			}
-			if t.Up {
-				leaving = false
-			} else if !leaving {
-				leaving, since = true, t.At
+			was := leaving || out
+			if t.ByHand {
+				out = !t.Up
+			} else {
+				leaving = !t.Up
+			}
+			if !was && (leaving || out) {
+				since = t.At
 			}
 		}
-		if !leaving || c.bornSince(s.Balancer, since, s.Began) {
+		if !out && (!leaving || c.bornSince(s.Balancer, since, s.Began)) {
 			continue
 		}
 		c.checked[Drains]++
@@ -460,6 +472,57 @@
 	}
 }
 
+// byHand checks that what operators put back is used again: what was in use before gets a shot in usedIn.
+func (c *court) byHand() {
+	for _, t := range c.rec.Tolds {
+		if !t.ByHand || !t.Up || t.At+usedIn > c.rec.Until() {
+			continue
+		}
+		c.checked[Used]++
+		if !slices.ContainsFunc(c.rec.Shots, func(s record.Shot) bool {
+			return s.Balancer == t.Balancer && s.Server == t.Node && s.Began > t.At && s.Began <= t.At+usedIn
+		}) {
+			c.breach(Used, "", t.At, 0, "%s got nothing from balancer %d in %v after it was put back", t.Node, t.Balancer+1, usedIn)
+		}
+	}
+	for _, d := range c.rec.Doors {
+		c.checked[Doors]++
+		if !d.Yes {
+			c.breach(Doors, "", d.At, 0, "%s: no, or no answer", d.What)
+		} else if over := d.Took - doorIn; over > 0 {
+			c.breach(Doors, "", d.At, over, "%s: answered after %v", d.What, at(d.Took))
+		}
+	}
+}
+
+// What operators are owed.
+const (
+	usedIn  = 5 * time.Second
+	doorIn  = time.Second
+	readyIn = 6 * time.Second
+	backOf  = 2 // calls that an upgrade may turn back
+)
+
+// upgrades checks that while two processes were one balancer no call was refused, or its connection closed unheard.
+func (c *court) upgrades() {
+	for _, u := range c.rec.Upgrades {
+		c.checked[NoneBack]++
+		if u.Ready == 0 || u.Ready > readyIn {
+			c.breach(NoneBack, "", u.From, 0, "the newer process of balancer %d was not ready in %v", u.Balancer+1, readyIn)
+			continue
+		}
+		back := 0
+		for _, k := range c.rec.Calls {
+			if k.Balancer == u.Balancer && (k.NotTaken || k.Reply == record.Closed) && k.Due >= u.From && k.Due <= u.To {
+				back++
+			}
+		}
+		if back > backOf {
+			c.breach(NoneBack, "", u.From, 0, "balancer %d turned %d calls back", u.Balancer+1, back)
+		}
+	}
+}
+
 // bornSince tells whether a balancer was started anew between two moments: the new one was told nothing yet.
 func (c *court) bornSince(balancer int, from, to time.Duration) bool {
 	return slices.ContainsFunc(c.rec.Lives, func(l record.Life) bool {
--- a/internal/rehearsal/judge/judge_test.go
+++ b/internal/rehearsal/judge/judge_test.go
@@ -38,6 +38,8 @@
 		"after its time":     {call: call(0, 0, 900*ms, 960*ms, record.Errored), shots: []record.Shot{shot("n", 1*ms, 900*ms, record.Nothing)}, want: OneAnswer},
 		"within the slack":   {call: call(0, 0, 900*ms, 940*ms, record.Errored), shots: []record.Shot{shot("n", 1*ms, 900*ms, record.Nothing)}},
 		"closed":             {call: call(0, 0, 900*ms, 0, record.Closed), want: OneAnswer},
+		"cut by its server":  {call: call(0, 0, 900*ms, 30*ms, record.CutShort), shots: []record.Shot{shot("n", 1*ms, 29*ms, record.Nothing)}},
+		"cut on the way":     {call: call(0, 0, 900*ms, 30*ms, record.CutShort), shots: []record.Shot{served(1*ms, 29*ms)}, want: OneAnswer},
 		"a shot afterwards":  {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), shots: []record.Shot{served(1*ms, 29*ms), served(90*ms, 99*ms)}, want: NothingLate},
 		"held back":          {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 300*ms, record.NeverRan)}, want: Prompt},
 		"its shot was out":   {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 705*ms, record.Nothing)}},
@@ -101,3 +103,59 @@
 		}
 	}
 }
+
+// What operators are owed: each row is a day that breaks one rule, or none. A ban outlives what the list says, and a new
+// process.
+func TestOperators(t *testing.T) {
+	second := time.Second
+	out := record.Told{Node: "n", At: 1 * second, ByHand: true}
+	back := record.Told{Node: "n", At: 5 * second, ByHand: true, Up: true}
+	listed := record.Told{Node: "n", At: 2 * second, Up: true}
+	upgrade := record.Upgrade{From: 3 * second, To: 4 * second, Ready: second}
+	late := call(0, 20*second, 21*second, 20*second+30*ms, record.RateLimited) // the day goes on
+	at := func(when time.Duration) record.Shot { return shot("n", when, when+5*ms, record.WasServed) }
+	closed := func(id string, when time.Duration) record.Call {
+		c := call(0, when, when+second, 0, record.Closed)
+		c.ID, c.Excused = id, true
+		return c
+	}
+	for name, row := range map[string]struct {
+		tolds    []record.Told
+		shots    []record.Shot
+		upgrades []record.Upgrade
+		calls    []record.Call
+		doors    []record.Door
+		want     Rule
+	}{
+		"out and back":                 {tolds: []record.Told{out, listed, back}, shots: []record.Shot{at(1500 * ms), at(6 * second)}},
+		"sent to though it is out":     {tolds: []record.Told{out, listed, back}, shots: []record.Shot{at(3 * second), at(6 * second)}, want: Drains},
+		"sent to by a newer process":   {tolds: []record.Told{out}, shots: []record.Shot{at(3500 * ms)}, upgrades: []record.Upgrade{upgrade}, want: Drains},
+		"left unused":                  {tolds: []record.Told{out, back}, want: Used},
+		"used too late":                {tolds: []record.Told{out, back}, shots: []record.Shot{at(11 * second)}, want: Used},
+		"two turned back":              {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 3200*ms), closed("c", 3300*ms)}},
+		"three turned back":            {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 3200*ms), closed("c", 3300*ms), closed("d", 3400*ms)}, want: NoneBack},
+		"three closed at another time": {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 8*second), closed("c", 8*second), closed("d", 8*second)}},
+		"never ready":                  {upgrades: []record.Upgrade{{From: second, To: 9 * second}}, want: NoneBack},
+		"a no at the door":             {doors: []record.Door{{What: "x", Took: 5 * ms}}, want: Doors},
+		"a late yes":                   {doors: []record.Door{{What: "x", Took: 1100 * ms, Yes: true}}, want: Doors},
+	} {
+		rec := record.New()
+		rec.Calls, rec.Tolds, rec.Upgrades, rec.Doors = append(row.calls, late), row.tolds, row.upgrades, row.doors
+		rec.Shots = row.shots
+		for i := range rec.Shots { // shots of other calls, which all had their answer with them
+			c := call(0, rec.Shots[i].Began-ms, rec.Shots[i].Began+second, rec.Shots[i].Ended+ms, record.Fulfilled)
+			c.ID = "shot" + string(rune('0'+i))
+			rec.Shots[i].Call = c.ID
+			rec.Calls = append(rec.Calls, c)
+		}
+		var got Rule
+		if rules := Judge(rec, terms()).BrokenRules(); len(rules) == 1 {
+			got = rules[0]
+		} else if len(rules) > 1 {
+			t.Errorf("%s: %q", name, rules)
+		}
+		if got != row.want {
+			t.Errorf("%s: broken %q, expected %q", name, got, row.want)
+		}
+	}
+}
--- a/internal/rehearsal/load/conn.go
+++ b/internal/rehearsal/load/conn.go
@@ -137,6 +137,9 @@
 		if err != nil {
 			co.net.Close()
 			switch {
+			case r.id == k.ID && r.kind == record.Fulfilled && !errors.Is(err, os.ErrDeadlineExceeded):
+				k.Answered, k.Reply = now, record.CutShort
+				k.Excused = f.ends()
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				k.Reply = record.None
 				k.Excused = f.ends()
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -18,10 +18,11 @@
 	Errored                  // promises nothing
 	Wrong                    // something else than what was made for it
 	Closed                   // the connection ended with no whole answer
+	CutShort                 // it ended within a value that had begun
 )
 
 func (r Reply) String() string {
-	return [...]string{"no answer", "fulfilled", "rate-limited", "errored", "wrong answer", "closed without answer"}[r]
+	return [...]string{"no answer", "fulfilled", "rate-limited", "errored", "wrong answer", "closed without answer", "cut short"}[r]
 }
 
 // Call is one try of a client.
@@ -82,6 +83,7 @@
 	Balancer int
 	Node     string
 	Up       bool // wants work
+	ByHand   bool // operators took it out or put it back, whatever the list says
 	At       time.Duration
 }
 
@@ -122,6 +124,13 @@
 	From, To time.Duration // To 0: to the end
 }
 
+// Upgrade is a time in which two processes were one balancer.
+type Upgrade struct {
+	Balancer int
+	From, To time.Duration // the newer one was ready; the older one had ended
+	Ready    time.Duration // that the newer one took, 0: it never was
+}
+
 // Opening counts connections that a server took.
 type Opening struct {
 	Server   string
@@ -137,6 +146,14 @@
 	Served   bool // it was given a value
 }
 
+// Door is one call of the operators.
+type Door struct {
+	What string
+	At   time.Duration
+	Took time.Duration
+	Yes  bool
+}
+
 // Record is all that was seen. Add and its kin are safe for concurrent use; the fields may be read once all is over.
 type Record struct {
 	mu       sync.Mutex
@@ -150,6 +167,8 @@
 	Openings []Opening
 	Darks    []Dark
 	Rudes    []Rude
+	Upgrades []Upgrade
+	Doors    []Door
 	Strains  map[string]float64 // the highest multiple of what it could do that a server was sent
 	Lates    []Late
 	ColdLast map[string]time.Duration // by cold node, until when it warmed
@@ -176,3 +195,11 @@
 func (r *Record) Strain(server string, multiple float64) {
 	r.Add(func() { r.Strains[server] = max(r.Strains[server], multiple) })
 }
+
+// Until is the moment of the last call.
+func (r *Record) Until() (last time.Duration) {
+	for i := range r.Calls {
+		last = max(last, r.Calls[i].Due)
+	}
+	return last
+}
--- a/internal/rehearsal/runner/config.go
+++ b/internal/rehearsal/runner/config.go
@@ -17,7 +17,7 @@
 const tickNs = 5_000_000
 
 // writeConfig lays down what a balancer of the day is told.
-func writeConfig(path string, w *standin.World, balancer int, listen string, seed uint64) error {
+func writeConfig(path string, w *standin.World, balancer int, listen, door string, seed uint64) error {
 	d := w.Day
 	zone := 0
 	for i, z := range d.Fleet.Zones {
@@ -53,7 +53,7 @@
 			"fallNs": int64(d.Rules.FallFor), "drainGraceNs": int64(d.Rules.DrainGrace), "askEveryNs": int64(10 * time.Second)},
 		"products": products, "customers": customers,
 	}
-	text, err := json.Marshal(m{"name": fmt.Sprintf("b%d", balancer+1), "listen": listen, "discovery": w.Register.Addr(balancer),
+	text, err := json.Marshal(m{"name": fmt.Sprintf("b%d", balancer+1), "listen": listen, "admin_addr": door, "discovery": w.Register.Addr(balancer),
 		"seed": fmt.Sprintf("%016x", seed), "limits": m{"cores": 1.0, "memory_mb": d.Fleet.MemoryMB, "sockets": d.Fleet.Sockets},
 		"known": w.Register.Known(balancer), "settings": settings})
 	if err != nil {
--- a/internal/rehearsal/runner/process.go
+++ b/internal/rehearsal/runner/process.go
@@ -29,20 +29,27 @@
 	CPU     time.Duration
 }
 
-// Launch starts a balancer with a configuration file, its log going to another one.
-type Launch func(ctx context.Context, balancer int, config, log string) (Instance, error)
+// Place is where a balancer finds and leaves things.
+type Place struct {
+	Config, Log string // files
+	Temp        string // a folder that is private to it
+}
+
+// Launch starts a balancer at its place.
+type Launch func(ctx context.Context, balancer int, at Place) (Instance, error)
 
 // Program starts balancers from a binary.
 func Program(path string) Launch {
-	return func(ctx context.Context, balancer int, config, log string) (Instance, error) {
-		out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return func(ctx context.Context, balancer int, at Place) (Instance, error) {
+		out, err := os.OpenFile(at.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			return nil, err
 		}
 		defer out.Close()
 		cmd := exec.CommandContext(ctx, path)
-		cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "STREAMRAIL_FILE=")
-		if own := operatorFile(config); fileExists(own) {
+		cmd.Env = append(os.Environ(), "GW_CONFIG="+at.Config, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "GW_ADMIN_ADDR=",
+			"TMPDIR="+at.Temp, "STREAMRAIL_FILE=")
+		if own := operatorFile(at.Config); fileExists(own) {
 			cmd.Env[len(cmd.Env)-1] += own
 		}
 		cmd.Stderr, cmd.Stdout = out, out
--- a/internal/rehearsal/runner/runner.go
+++ b/internal/rehearsal/runner/runner.go
@@ -43,6 +43,8 @@
 type life struct {
 	instance Instance
 	addr     string
+	door     string // for operators; empty: the day needs none
+	temp     string
 	config   string
 	starts   uint64
 	at       *record.Life // of the instance
@@ -161,12 +163,28 @@
 		}
 		l.config = filepath.Join(s.dir, fmt.Sprintf("balancer-%d.json", b+1))
 	}
+	os.RemoveAll(l.temp)
+	// Not in the day's own folder, whose path may be too long for a Unix socket's.
+	if l.temp, err = os.MkdirTemp("", "b"); err != nil {
+		return err
+	}
+	return s.launchAt(b)
+}
+
+// launchAt starts a process for a balancer, with its temporary folder as it is. Under s.mu.
+func (s *Stage) launchAt(b int) (err error) {
+	l := s.running[b]
+	if s.W.Day.Door() {
+		if l.door, err = s.W.FreeAddr(); err != nil {
+			return err
+		}
+	}
 	s.W.Register.Restarted(b)
 	l.starts++
-	if err = writeConfig(l.config, s.W, b, l.addr, model.Stream(s.W.Day.Seed, fmt.Sprint("balancer ", b, l.starts)).Uint64()); err != nil {
+	if err = writeConfig(l.config, s.W, b, l.addr, l.door, model.Stream(s.W.Day.Seed, fmt.Sprint("balancer ", b, l.starts)).Uint64()); err != nil {
 		return err
 	}
-	if l.instance, err = s.launch(s.ctx, b, l.config, s.log(b)); err != nil {
+	if l.instance, err = s.launch(s.ctx, b, Place{l.config, s.log(b), l.temp}); err != nil {
 		return err
 	}
 	l.at = &record.Life{Balancer: b, Start: s.W.Now()}
@@ -200,7 +218,12 @@
 	at.End, at.Exit = s.W.Now(), in.Exit()
 	at.PeakMB, at.Sockets, at.CPU = peak.MB, peak.Sockets, max(peak.CPU, in.Usage().CPU)
 	s.Rec.Add(func() { s.Rec.Lives = append(s.Rec.Lives, at) })
-	s.Callers.Down(b)
+	s.mu.Lock()
+	succeeded := s.running[b].instance != in // another process has its place already
+	s.mu.Unlock()
+	if !succeeded {
+		s.Callers.Down(b)
+	}
 }
 
 // ready waits until a balancer answers, and lets the front deal to it.
@@ -270,13 +293,16 @@
 	s.mu.Lock()
 	l := s.running[b]
 	s.mu.Unlock()
-	if err := writeConfig(l.config, s.W, b, l.addr, model.Stream(s.W.Day.Seed, fmt.Sprint("balancer ", b, l.starts)).Uint64()); err != nil {
+	if err := writeConfig(l.config, s.W, b, l.addr, l.door, model.Stream(s.W.Day.Seed, fmt.Sprint("balancer ", b, l.starts)).Uint64()); err != nil {
 		return err
 	}
 	l.instance.Hup()
 	return nil
 }
 
+// Stray plays one connection of a crowd.
+func (s *Stage) Stray(i int) { s.Callers.Stray(i) }
+
 // Rude plays a rude client.
 func (s *Stage) Rude(i int) { s.Callers.Rude(i) }
 
@@ -366,6 +392,9 @@
 	s.mu.Unlock()
 	s.cancel()
 	s.looks.Wait()
+	for _, l := range s.running {
+		os.RemoveAll(l.temp)
+	}
 	for _, n := range s.W.Nodes() {
 		n.Stop()
 	}
--- a/internal/rehearsal/runner/runner_test.go
+++ b/internal/rehearsal/runner/runner_test.go
@@ -122,6 +122,8 @@
 // A judge that cannot say no is worth nothing: each balancer that does one thing wrong is named for just that, and the
 // same balancer without it for nothing. Two together push a cold node over that neither alone would.
 func TestJudgeNamesTheWrong(t *testing.T) {
+	// These need rare chances, rude clients, or a door, which the plain balancer does not have.
+	hard := []judge.Rule{judge.NoRepeat, judge.Promise, judge.RudeEnds, judge.Used, judge.NoneBack, judge.Doors}
 	for what, want := range map[string][]judge.Rule{
 		"nothing": nil,
 		"lose":    {judge.OneAnswer},
@@ -142,7 +144,7 @@
 			}
 			for _, f := range v.Findings {
 				exercised := f.Checked > 0
-				if hard := f.Rule == judge.NoRepeat || f.Rule == judge.Promise || f.Rule == judge.RudeEnds; !hard && !exercised {
+				if !slices.Contains(hard, f.Rule) && !exercised {
 					t.Errorf("%q was not exercised", f.Rule)
 				}
 			}
@@ -165,7 +167,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "streamrail/cmd/streamrail").CombinedOutput(); err != nil {
 		t.Fatalf("%s", out)
 	}
-	for _, name := range []string{"short", "through"} {
+	for _, name := range []string{"short", "through", "operators"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			text := day
@@ -177,7 +179,17 @@
 					"[[fault]]\ndo = \"balancer-restart\"\nat = \"3s\"\nbalancers = [2]\n"
 				text = "length = \"8s\"\n" + text
 			}
+			if name == "operators" {
+				text = "length = \"11s\"\n[fleet]\nbalancers = 2\n[[node]]\nname = \"n\"\ncount = 4\n[load]\nper_s = 120.0\n" +
+					"[[fault]]\ndo = \"by-hand\"\nat = \"1s\"\nfor = \"3s\"\nnodes = [\"n-2\"]\n" +
+					"[[fault]]\ndo = \"upgrade\"\nat = \"2s\"\n[[fault]]\ndo = \"crowd\"\nat = \"5s\"\nfor = \"3s\"\ncount = 100\n"
+			}
 			res := play(t, Program(program), text)
+			for _, f := range res.Verdict.Findings {
+				if name == "operators" && slices.Contains([]judge.Rule{judge.Used, judge.NoneBack, judge.Doors, judge.Drains}, f.Rule) && f.Checked == 0 {
+					t.Errorf("%q was not exercised", f.Rule)
+				}
+			}
 			if v := res.Verdict; v.Broken() {
 				t.Errorf("%s", examples(v))
 			}
--- a/internal/rehearsal/runner/wrong_test.go
+++ b/internal/rehearsal/runner/wrong_test.go
@@ -54,8 +54,8 @@
 
 // wrongly launches wrong balancers in this process.
 func wrongly(what string) Launch {
-	return func(ctx context.Context, _ int, config, _ string) (Instance, error) {
-		text, err := os.ReadFile(config)
+	return func(ctx context.Context, _ int, at Place) (Instance, error) {
+		text, err := os.ReadFile(at.Config)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/rehearsal/scenario/read.go
+++ b/internal/rehearsal/scenario/read.go
@@ -220,7 +220,7 @@
 	}
 	within(c, "load.keys", d.Load.Keys, 1, 1<<22)
 	within(c, "load.zipf", d.Load.Zipf, 0, 4)
-	within(c, "load.value_size", d.Load.ValueSize, 64, 1<<20) // the key, the version and the id go into a value
+	within(c, "load.value_size", d.Load.ValueSize, 64, 4<<20) // the key, the version and the id go into a value
 	within(c, "load.quota", d.Load.Quota, 0.01, 10)
 	within(c, "load.warm", d.Load.Warm, 0, 1)
 	if n := d.Load.PerS * d.Length.D().Seconds(); n > model.MostArrivals/4 {
@@ -324,6 +324,9 @@
 	if f.Do == "rude" {
 		within(c, at+"count", f.Count, 1, 500)
 	}
+	if f.Do == "crowd" {
+		within(c, at+"count", f.Count, 1, 20000)
+	}
 	if f.Do == "deploy" {
 		within(c, at+"at_once", f.AtOnce, 1, max(1, len(ids)))
 		within(c, at+"drain", f.Drain, Span(100*time.Millisecond), longest)
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -194,6 +194,9 @@
 	"balancer-kill":    {"balancers are killed and start again after FOR", []string{"for"}, []string{"balancers"}},
 	"balancer-restart": {"balancers get SIGTERM and start again", nil, []string{"balancers"}},
 	"reload":           {"the register moves to another address and balancers get SIGHUP", nil, []string{"balancers"}},
+	"by-hand":          {"operators take nodes out at every balancer, restart them, and put them back after FOR", []string{"for"}, []string{"nodes", "part"}},
+	"upgrade":          {"a new process takes over from each balancer under load", nil, []string{"balancers"}},
+	"crowd":            {"COUNT connections come in FOR, most of which never finish an API call", []string{"for", "count"}, nil},
 	"surge":            {"traffic is BY times the usual", []string{"for", "by"}, []string{"tenant"}},
 	"scan":             {"this part of the reads ask for keys wanted exactly once", []string{"for", "part"}, nil},
 	"hot":              {"this part of the reads ask for a few keys", []string{"for", "part", "keys"}, nil},
@@ -369,6 +372,11 @@
 	d.Faults = slices.DeleteFunc(d.Faults, func(f Fault) bool { return f.At+f.For > d.Length })
 }
 
+// Door tells whether the day needs the balancers' doors for operators.
+func (d *Day) Door() bool {
+	return slices.ContainsFunc(d.Faults, func(f Fault) bool { return f.Do == "by-hand" || f.Do == "upgrade" })
+}
+
 // Retry is what clients do after a try that was not fulfilled.
 func (d *Day) Retry() model.Retry {
 	c := d.Clients
--- a/internal/rehearsal/virtual/faults.go
+++ b/internal/rehearsal/virtual/faults.go
@@ -107,7 +107,7 @@
 				})
 			})
 		}
-	case "reload", "rude": // of sockets alone
+	case "reload", "rude", "by-hand", "upgrade", "crowd": // of sockets and processes alone
 		return
 	}
 	about := f.Do
