--- a/cmd/streamrail/door_test.go
+++ b/cmd/streamrail/door_test.go
@@ -47,7 +47,7 @@
 	d := newList(t)
 	d.set("h", h.addr, "cache", "active")
 	door := freeAddr(t)
-	p := serving(t, config(d, freeAddr(t), through), "GW_ADMIN_ADDR="+door)
+	p := serving(t, config(d, freeAddr(t), through), "GW_ADMIN_ADDR="+door, "TMPDIR="+shortDir(t))
 	for range 40 { // more than it holds
 		c, err := net.Dial("tcp", door)
 		if err != nil {
--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -59,7 +59,8 @@
 	d := newList(t)
 	d.set("h", h.addr, "cache", "active")
 	d.set("other", other.addr, "cache", "active")
-	dir, c := shortDir(t), config(d, freeAddr(t), through)
+	listen := freeAddr(t)
+	dir, c := shortDir(t), config(d, listen, through)
 	p, door := ready(t, c, dir)
 	if status, text := atDoor(t, door, "POST", "/api/exclude", `{"member":"other"}`); status != 200 {
 		t.Fatal(text)
@@ -74,7 +75,7 @@
 	for i := range 4 {
 		all.Go(func() {
 			for n := 0; !stop.Load(); n++ {
-				conn, err := net.Dial("tcp", p.addr)
+				conn, err := net.Dial("tcp", listen)
 				if err != nil {
 					back.Add(1)
 					continue
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -37,6 +37,9 @@
 	silentLeast = 40 * time.Millisecond
 	// One that was answered just now often has its next command on the way: a few turns of the network, and of a client.
 	idleLeast = 20 * time.Millisecond
+	// One that has carried several is in use by turns: closing it would only have its client open another, which would
+	// have the next one closed.
+	reusedLeast = 500 * time.Millisecond
 	// One within a command is a slow client's, who writes in pieces for two seconds, or will never end. Pieces come a good
 	// part of a second apart at the most.
 	stalledLeast = time.Second
@@ -91,7 +94,9 @@
 func (cs *clients) proves(c *client) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	c.proven.Store(true)
+	if c.proven.Swap(true) {
+		c.reused.Store(true)
+	}
 	if !c.counted {
 		c.counted = true
 		cs.proven++
@@ -171,6 +176,9 @@
 	case !c.proven.Load(): // nothing, or no API call
 		return silent, since, silentLeast
 	}
+	if c.reused.Load() {
+		return idle, since, reusedLeast
+	}
 	return idle, since, idleLeast
 }
 
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -25,6 +25,7 @@
 	within    atomic.Bool   // a command has begun to come
 	used      atomic.Bool   // it has carried a command
 	proven    atomic.Bool   // it has carried an API call, if only one that was turned away
+	reused    atomic.Bool   // it has carried several
 	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
 	outOfRoom atomic.Bool   // it makes room for others
 	seated    bool          // it is served; under the mu of clients
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -46,3 +46,26 @@
 		t.Errorf("names: %v %v %v %v", d.Zones, d.Kinds, d.Customers, d.Products)
 	}
 }
+
+// The variable wins over the file's key at a start; an address that is none is named; a changed one waits for a restart.
+func TestAdminAddress(t *testing.T) {
+	text := `{"listen":"a:1","discovery":"a:2","admin_addr":"a:3","seed":"1","settings":{"products":[{"name":"p","effect":"idempotent"}]}}`
+	env := map[string]string{}
+	getenv := func(name string) string { return env[name] }
+	d, err := parse([]byte(text), getenv, false)
+	if err != nil || d.Admin != "a:3" {
+		t.Fatalf("%v %v", d, err)
+	}
+	env["GW_ADMIN_ADDR"] = "b:4"
+	other, err := parse([]byte(text), getenv, false)
+	if err != nil || other.Admin != "b:4" {
+		t.Fatalf("%v %v", other, err)
+	}
+	if keys := d.Fixed(other); !reflect.DeepEqual(keys, []string{"admin_addr"}) {
+		t.Errorf("kept until restart: %q", keys)
+	}
+	env["GW_ADMIN_ADDR"] = "nowhere"
+	if _, err = parse([]byte(text), getenv, false); err == nil || !strings.Contains(err.Error(), "admin_addr") {
+		t.Errorf("a faulty one: %v", err)
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -346,3 +346,35 @@
 		t.Errorf("%d known of one", known())
 	}
 }
+
+// A host that is out by hand gets nothing, also where the list names it again, nor what waits for a connection to it; back, it
+// gets no shot over a connection of before: it may be another process.
+func TestOutByHand(t *testing.T) {
+	hs, entry, conns := stand(t, wide)
+	s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Shoot(s)
+	first := <-conns
+	first.Read(make([]byte, 100))
+	io.WriteString(first, "EN O1\r\n")
+	ends(t, ended, policy.Missed)
+	atRest(t, hs, 1)
+	hs.Exclude("h")
+	hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
+	s, ended = shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	hs.Shoot(s)
+	ends(t, ended, policy.NeverSent)
+	if n, _ := first.Read(make([]byte, 1)); n != 0 {
+		t.Error("the connection at rest was used")
+	}
+	hs.Include("h")
+	s, ended = shot(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
+	hs.Shoot(s)
+	select {
+	case second := <-conns:
+		second.Read(make([]byte, 100))
+		io.WriteString(second, "EN O3\r\n")
+	case <-time.After(10 * time.Second):
+		t.Fatal("no new connection")
+	}
+	ends(t, ended, policy.Missed)
+}
