Ask a host again first where a connection broke; give up calls before they are late

Change: after a break the same host is asked first, within rule 2 and its cold budget; where nobody is there the call is given up. The dearest product goes on as ever. objectiveMix.tail and .missShare are read, checked and refused by key; where they count and a late answer is worth nothing, a call is given up two ticks before it is late.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -69,3 +69,22 @@
 		t.Errorf("a faulty one: %v", err)
 	}
 }
+
+// A share of misses counts only where it has a weight; an impossible one is named by its key.
+func TestMissShare(t *testing.T) {
+	for _, row := range []struct {
+		mix  string
+		want float64
+		key  string
+	}{
+		{`{}`, 0, ""}, {`{"tail":0.3,"missShare":0.02}`, 0.02, ""}, {`{"missShare":0.02}`, 0, ""}, {`{"tail":0.3}`, 0, "objectiveMix.tail"},
+		{`{"tail":-1,"missShare":0.02}`, 0, "objectiveMix.tail"}, {`{"tail":0.3,"missShare":1.5}`, 0, "objectiveMix.missShare"},
+		{`{"tail":0.3,"missShare":"few"}`, 0, "objectiveMix.missShare"},
+	} {
+		d := &Deployment{}
+		err := d.settle(json.RawMessage(`{"objectiveMix":` + row.mix + `,"products":[{"name":"p","effect":"idempotent"}]}`))
+		if row.key != "" && (err == nil || !strings.Contains(err.Error(), row.key)) || row.key == "" && (err != nil || d.Terms.MissShare != row.want) {
+			t.Errorf("%s: %v, %v", row.mix, d.Terms.MissShare, err)
+		}
+	}
+}
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -68,6 +68,15 @@
 		FallMultiple: r.num("rules.fallMultiple", 1), FallWindow: r.span("rules.fallNs"),
 		AskEvery: r.span("rules.askEveryNs"), Tick: r.span("tickNs"),
 	}
+	tail, miss := "objectiveMix.tail", "objectiveMix.missShare"
+	if t.MissShare = r.num(miss, 0); t.MissShare < 0 || t.MissShare >= 1 {
+		r.fail(miss, pairs[miss], "a share under 1")
+	}
+	if weight := r.num(tail, 0); weight < 0 || weight > 1 || weight > 0 && t.MissShare == 0 {
+		r.fail(tail, pairs[tail], "a weight up to 1 beside a missShare over 0")
+	} else if weight == 0 {
+		t.MissShare = 0
+	}
 	if pairs["caps.retryAfter"] == "true" {
 		t.MaxComeBack = r.span("caps.maxRetryAfterNs")
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,9 @@
 	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
 	b.host.Wake(max(0, in.Left-2*b.terms.Tick), WakeID("e"+in.ID))
 	b.calls[in.ID] = c
+	if b.terms.MissShare > 0 && c.terms.OverdueValue == 0 {
+		b.host.Wake(max(0, c.terms.LatencySLO-2*b.terms.Tick), WakeID("s"+in.ID))
+	}
 	b.count(c)
 	c.above = b.beyondAllowance(c)
 	switch {
@@ -162,12 +165,12 @@
 		c.missed = true
 		b.askOrigin(c)
 	case c.out == 0:
-		b.again(c, s.at)
+		b.again(c, s.at, e.Outcome)
 	}
 }
 
 // again makes a further shot after one that failed, or gives up.
-func (b *Balancer) again(c *call, failed *cache) {
+func (b *Balancer) again(c *call, failed *cache, outcome Outcome) {
 	late := b.host.Now() >= c.began+c.terms.LatencySLO
 	// No host was given work by a shot that found nobody there: the next one feeds no overload.
 	tried := slices.ContainsFunc(c.shots, func(s shot) bool { return !s.nobody })
@@ -176,11 +179,26 @@
 		b.giveUp(c)
 	case failed == b.origin:
 		b.askOrigin(c)
+	case c.broke == failed && c.shots[len(c.shots)-1].nobody:
+		b.giveUp(c)
+	case c.broke == nil && outcome == Reset && b.secondLook(c, failed):
+		c.broke = failed
+		b.send(c, failed)
 	default:
 		b.toCache(c)
 	}
 }
 
+// secondLook tells whether a call whose connection broke is asked at the same host first. Where nobody is
+// there any more it took the host down, or went down with it: carried on it would take the next down too, and
+// a few calls, which clients repeat, kept fleets down. It guards as well against hosts that die under load:
+// their calls all moved on at once. It does harm where hosts die of themselves: what was out there is for the
+// clients to repeat. The dearest product is spared that.
+func (b *Balancer) secondLook(c *call, failed *cache) bool {
+	return c.terms.BilledValue < b.topValue && b.up(failed) && b.mayRepeat(c, failed) &&
+		b.coldMayTake(failed, c, true)
+}
+
 // furtherPays draws whether a further shot is made: as often as recent ones were fulfilled, so that in an
 // overload, where they are not, they stop feeding it. One in twenty is always made, to see it end.
 func (b *Balancer) furtherPays() bool {
@@ -296,6 +314,10 @@
 		b.giveUp(c)
 	case id[0] == 'p':
 		b.impatient(c)
+	case id[0] == 's' && !c.stream && b.mayRateLimit(c):
+		// Where a few misses cost more than the same calls rate-limited, a late answer is given up before it is
+		// late. It does harm where late answers are worth much and misses are rare.
+		b.giveUp(c)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -73,8 +73,9 @@
 	shots        []shot
 	out          int
 	over, stream bool
-	above        bool // beyond its customer's allowance
-	missed       bool // a cache lacked its key
+	above        bool   // beyond its customer's allowance
+	missed       bool   // a cache lacked its key
+	broke        *cache // where its connection broke: it is asked there again first
 }
 
 type shot struct {
--- a/policy/types.go
+++ b/policy/types.go
@@ -148,5 +148,6 @@
 	FallMultiple  float64
 	FallWindow    Nanos
 	AskEvery      Nanos
+	MissShare     float64 // of API calls late or failed that is tolerated, by product; 0: nothing hangs on a share
 	Tick          Nanos
 }
