--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -67,6 +67,7 @@
 		ColdFrom: r.num("rules.coldFrom", 0.1), RampTime: r.span("rules.rampTimeNs"),
 		FallMultiple: r.num("rules.fallMultiple", 1), FallWindow: r.span("rules.fallNs"),
 		AskEvery: r.span("rules.askEveryNs"), Tick: r.span("tickNs"),
+		KeepAlive: r.span("caps.keepaliveNs"),
 	}
 	tail, miss := "objectiveMix.tail", "objectiveMix.missShare"
 	if t.MissShare = r.num(miss, 0); t.MissShare < 0 || t.MissShare >= 1 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 				break
 			}
 			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
-			if asked || pass == 0 && (b.host.Now() < h.absentUntil || !b.trusted(h, c)) {
+			if asked || pass == 0 && (b.host.Now() < h.absentUntil || !b.trusted(h, c) || b.scarce(h)) {
 				continue
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
@@ -99,6 +99,17 @@
 	return nil
 }
 
+// scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none: hosts
+// take only so many, and hundreds of balancers want one each. It serves as well where hosts are cut off or gone
+// and the list is late. It does harm where new hosts come just then: they wait for the second look.
+func (b *Balancer) scarce(h *cache) bool {
+	if b.terms.KeepAlive == 0 || h.metAt > 0 && b.host.Now()-h.metAt < b.terms.KeepAlive {
+		return false
+	}
+	met, not := b.met.faded(b.host.Now())
+	return b.chance() < not/(met+not+4)
+}
+
 // reach is how many busy hosts a key is carried past under pressure, and three more while nothing presses:
 // in an overload keys spread over all caches and their misses bring the origin down. Of 0 to 6 one did best.
 const reach = 1
@@ -144,6 +155,12 @@
 	}
 	s := &c.shots[e.Shot]
 	s.out, s.ran, s.nobody = false, mayHaveRun(e.Outcome), e.Outcome == ConnectFailed
+	if h != nil && h != b.origin && e.Outcome != NeverSent {
+		b.met.tell(now, !s.nobody, s.nobody)
+		if !s.nobody {
+			h.metAt = now
+		}
+	}
 	c.out--
 	if s.far {
 		b.origin.out--
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -278,7 +278,7 @@
 		t.Aside, t.SecondCopies, t.MustSubscribe, t.LiveSizes = o["aside"] != "", o["copies"] != "", o["subscribe"] != "", o["live"] != ""
 		t.OriginKind = Kind(o.num("origin", -1))
 		t.MostShots = int(o.num("shots", 6))
-		t.MissShare = o.num("misses", 0)
+		t.MissShare, t.KeepAlive = o.num("misses", 0), o.ms("keep", 0)
 	case "customer": // customer N OUTCOME: from now on all hosts answer it so
 		if len(w) == 3 {
 			n, _ := strconv.Atoi(w[1])
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,7 @@
 	out                map[CacheID]bool // taken out by hand, whatever the list says
 	retrying, noted    bool             // noted: caches tell hits from misses
 	owing              bool             // some cache's owed may be set
+	met                meter            // shots at caches that found a connection, and that did not
 	beside             int              // shots out at the origin from the other process of an upgrade
 	paired             bool             // there is one
 }
@@ -57,6 +58,7 @@
 	cutAt                Nanos
 	well, badAt          int // good endings, and how many there were at the last bad one
 	rest, restUntil      Nanos
+	metAt                Nanos // a shot last found a connection
 	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
 	back                 Nanos   // put back by hand: what was known of it before holds no more
--- a/policy/types.go
+++ b/policy/types.go
@@ -148,6 +148,7 @@
 	FallMultiple  float64
 	FallWindow    Nanos
 	AskEvery      Nanos
+	KeepAlive     Nanos   // an idle connection lasts so long; 0: not told
 	MissShare     float64 // of API calls late or failed that is tolerated, by product; 0: nothing hangs on a share
 	Tick          Nanos
 }
