--- a/policy/policy.go
+++ b/policy/policy.go
@@ -99,9 +99,9 @@
 	return nil
 }
 
-// scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none: hosts
-// take only so many, and hundreds of balancers want one each. It serves as well where hosts are cut off or gone
-// and the list is late. It does harm where new hosts come just then: they wait for the second look.
+// scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none:
+// hosts take only so many, and hundreds of balancers want one each. It serves as well where hosts are cut off
+// or gone and the list is late. It does harm where new hosts come just then: they wait for the second look.
 func (b *Balancer) scarce(h *cache) bool {
 	if b.terms.KeepAlive == 0 || h.metAt > 0 && b.host.Now()-h.metAt < b.terms.KeepAlive {
 		return false
