Save taken-over bans once, drop a dead method, and join what stood twice

Cause: a second reading of the whole change. takeOver wrote the file of bans once for each host that is out; Patient.Read had no caller; the descriptors for hosts were worked out twice in New; restore closed source.first in two places; the list of bans was built in two; conn.write took an upload's line end from a place in its parts; the kit played crowd and rude by the same loop written twice, and ByHand returned an error that is never one.

Behaviour, bounds and tests stay. Left: the register's stand-in keeps an instance type of its own beside discovery.Format's, since one that both share would hide a key that is wrong in both.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -211,13 +212,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.conns) >= mostConns {
-		out := b.conns[0]
-		for _, c := range b.conns {
-			if !c.whole {
-				out = c
-				break
-			}
-		}
+		out := b.conns[max(0, slices.IndexFunc(b.conns, func(c *conn) bool { return !c.whole }))]
 		b.drop(out)
 		out.Conn.Close()
 	}
@@ -227,12 +222,7 @@
 }
 
 func (b *bounded) drop(c *conn) {
-	for i, o := range b.conns {
-		if o == c {
-			b.conns = append(b.conns[:i], b.conns[i+1:]...)
-			return
-		}
-	}
+	b.conns = slices.DeleteFunc(b.conns, func(o *conn) bool { return o == c })
 }
 
 // called notes that a call has come whole.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -64,15 +64,15 @@
 	if told.Admin != "" {
 		room -= admin.Descriptors + handover.Descriptors
 	}
+	up := room * upstreamPart / 8
 	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4), rested: make(chan *call),
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:   tally{hosts: map[policy.CacheID]*[2]int64{}},
 		figures: newFigures(told),
 		clients: newClients(told.Sockets / 4),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
-			Most: room * upstreamPart / 8, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
+			Most: up, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout,
 			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
-	up := room * upstreamPart / 8
 	b.whole = holds{clients: int64(room - up), upstream: int64(up), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
 		bytes: int64(told.MemoryMB) << 20 / part}
 	b.limit(b.whole)
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -28,12 +28,14 @@
 	}
 	b.source.keep(l)
 	b.listed(policy.ListRestored, l)
-	if from != nil && len(l.Hosts) > 0 {
-		b.source.once.Do(func() { close(b.source.first) }) // it is the present one
+	if len(l.Hosts) == 0 {
+		return
 	}
-	if len(l.Hosts) > 0 && b.told.Terms.MustSubscribe { // each call loads discovery: only what changed since is asked for
+	if b.told.Terms.MustSubscribe { // each call loads discovery: only what changed since is asked for
 		b.source.known = &l.Generation
-		b.source.once.Do(func() { close(b.source.first) }) // the module asks when it sees fit
+	}
+	if from != nil || b.told.Terms.MustSubscribe { // it is the present one, or the module asks when it sees fit
+		b.source.once.Do(func() { close(b.source.first) })
 	}
 }
 
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -90,7 +90,10 @@
 		}
 	}
 	for _, id := range excluded {
-		b.apply(policy.CacheID(id), true)
+		b.change(policy.CacheID(id), true)
+	}
+	if len(excluded) > 0 {
+		b.saveBans()
 	}
 }
 
@@ -140,9 +143,7 @@
 	s.List = b.names().Format(b.source.list)
 	b.source.mu.Unlock()
 	b.decide(func() {
-		for _, id := range b.module.Excluded() {
-			s.Excluded = append(s.Excluded, string(id))
-		}
+		s.Excluded = b.excluded()
 		s.Learnt, err = json.Marshal(b.module.Tell())
 	})
 	if err != nil {
@@ -299,10 +300,15 @@
 	return nil
 }
 
-// apply does what a ban's change means here: one takes a host out first where calls are given to it, then where they are
-// written, and puts it back the other way round. The file has it before anybody is told yes.
+// apply changes a ban here; the file has it before anybody is told yes.
 func (b *Balancer) apply(id policy.CacheID, out bool) {
-	var all []string
+	b.change(id, out)
+	b.saveBans()
+}
+
+// change takes a host out first where calls are given to it, then where they are written, and puts it back the other way
+// round.
+func (b *Balancer) change(id policy.CacheID, out bool) {
 	if !out {
 		b.hosts.Include(id)
 	}
@@ -312,17 +318,27 @@
 		} else {
 			b.module.Include(id)
 		}
-		for _, id := range b.module.Excluded() {
-			all = append(all, string(id))
-		}
 	})
 	if out {
 		b.hosts.Exclude(id)
 	}
+	b.log.Info().Str("host", string(id)).Bool("out", out).Msg("by hand")
+}
+
+// excluded are the hosts out by hand. Under Balancer.mu.
+func (b *Balancer) excluded() (all []string) {
+	for _, id := range b.module.Excluded() {
+		all = append(all, string(id))
+	}
+	return all
+}
+
+func (b *Balancer) saveBans() {
+	var all []string
+	b.decide(func() { all = b.excluded() })
 	if err := handover.Save(b.banFile(), all); err != nil {
 		b.log.Warn().Err(err).Msg("the hosts out by hand are not kept in a file")
 	}
-	b.log.Info().Str("host", string(id)).Bool("out", out).Msg("by hand")
 }
 
 // tellHolds says what this process holds, until the other one has ended.
--- a/internal/rehearsal/faults/faults.go
+++ b/internal/rehearsal/faults/faults.go
@@ -20,7 +20,7 @@
 	Restart(balancer int)                  // in order
 	Reload(balancer int) error             // gives it a new configuration that names another register
 	Rude(i int)                            // plays a rude client, and returns when it has ended
-	ByHand(node string, out bool) error    // takes a node out, or puts it back, at every balancer's door
+	ByHand(node string, out bool)          // takes a node out, or puts it back, at every balancer's door
 	Upgrade(balancer int) error            // has a new process take over
 	Stray(i int)                           // plays one connection of a crowd, and returns when it has ended
 }
@@ -166,35 +166,26 @@
 		}
 	case "by-hand":
 		for _, p := range places {
-			t.at(from, func() { t.back(t.b.ByHand(t.node(p).ID, true)) })
+			t.at(from, func() { t.b.ByHand(t.node(p).ID, true) })
 			t.at((from+to)/2, func() {
 				n := t.node(p)
 				n.Stop()
 				t.back(n.Start(true))
 				t.list(n, model.Active)
 			})
-			t.at(to, func() { t.back(t.b.ByHand(t.node(p).ID, false)) })
+			t.at(to, func() { t.b.ByHand(t.node(p).ID, false) })
 		}
 	case "upgrade":
 		for _, b := range balancers {
-			t.at(from, func() {
-				t.wait.Add(1)
-				go func() { defer t.wait.Done(); t.back(t.b.Upgrade(b)) }()
-			})
+			t.at(from, func() { t.wait.Go(func() { t.back(t.b.Upgrade(b)) }) })
 		}
-	case "crowd":
-		for n := range f.Count {
-			t.at(from+f.For.D()*time.Duration(n)/time.Duration(f.Count), func() {
-				t.wait.Add(1)
-				go func() { defer t.wait.Done(); t.b.Stray(n) }()
-			})
+	case "crowd", "rude":
+		play := t.b.Rude
+		if f.Do == "crowd" {
+			play = t.b.Stray
 		}
-	case "rude":
 		for n := range f.Count {
-			t.at(from+f.For.D()*time.Duration(n)/time.Duration(f.Count), func() {
-				t.wait.Add(1)
-				go func() { defer t.wait.Done(); t.b.Rude(n) }()
-			})
+			t.at(from+f.For.D()*time.Duration(n)/time.Duration(f.Count), func() { t.wait.Go(func() { play(n) }) })
 		}
 	}
 	if strings.Contains(" slow stall kill vanish link-delay link-cut deploy by-hand ", " "+f.Do+" ") {
--- a/internal/rehearsal/runner/door.go
+++ b/internal/rehearsal/runner/door.go
@@ -30,7 +30,7 @@
 }
 
 // ByHand takes a node out, or puts it back, at the door of every balancer that runs.
-func (s *Stage) ByHand(node string, out bool) error {
+func (s *Stage) ByHand(node string, out bool) {
 	call := "/api/include"
 	if out {
 		call = "/api/exclude"
@@ -47,7 +47,6 @@
 			s.Rec.Tolds = append(s.Rec.Tolds, record.Told{Balancer: b, Node: node, Up: !out, At: now, ByHand: true})
 		})
 	}
-	return nil
 }
 
 // upgradeWait bounds the wait for a newer process, longer than it may take.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -149,11 +149,7 @@
 		}
 	}
 	if s.Upload != nil {
-		var tail []byte
-		if !c.host.isOrigin {
-			tail = parts[2]
-		}
-		return c.upload(s, c.head, tail)
+		return c.upload(s)
 	}
 	parts[0] = c.head
 	total := int64(0)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -33,7 +33,7 @@
 
 var pieces = sync.Pool{New: func() any { return new([PieceBytes]byte) }}
 
-// Copy moves exactly so many bytes. Told tells whether the reader was at fault.
+// Copy moves exactly so many bytes; readerFault tells whether the reader or the writer was at fault.
 func Copy(to io.Writer, from io.Reader, length int) (readerFault bool, err error) {
 	buffer := pieces.Get().(*[PieceBytes]byte)
 	defer pieces.Put(buffer)
@@ -55,14 +55,9 @@
 	return false, nil
 }
 
-// Patient moves a connection's time limits on with each piece.
+// Patient moves a connection's time limit for writes on with each piece.
 type Patient struct{ net.Conn }
 
-func (p Patient) Read(b []byte) (int, error) {
-	p.SetReadDeadline(time.Now().Add(PieceWait))
-	return p.Conn.Read(b)
-}
-
 func (p Patient) Write(b []byte) (int, error) {
 	p.SetWriteDeadline(time.Now().Add(PieceWait))
 	return p.Conn.Write(b)
@@ -107,10 +102,10 @@
 }
 
 // upload writes a long value as it comes from the client; the outcome is Fulfilled where its last byte was written.
-func (c *conn) upload(s *Shot, head, tail []byte) policy.Outcome {
+func (c *conn) upload(s *Shot) policy.Outcome {
 	defer close(s.Upload.Ended)
 	to := Patient{c.net}
-	if _, err := to.Write(head); err != nil {
+	if _, err := to.Write(c.head); err != nil {
 		return policy.ConnectFailed
 	}
 	if readerFault, err := Copy(to, s.Upload.In, s.Upload.Length); readerFault {
@@ -118,8 +113,8 @@
 	} else if err != nil {
 		return policy.ConnectFailed
 	}
-	if len(tail) > 0 {
-		if _, err := to.Write(tail); err != nil {
+	if !c.host.isOrigin {
+		if _, err := io.WriteString(to, "\r\n"); err != nil {
 			return policy.ConnectFailed
 		}
 	}
