--- a/internal/benchwire/decode.go
+++ b/internal/benchwire/decode.go
@@ -93,10 +93,18 @@
 	bits := f.number(4)
 	return policy.Call{
 		ID: policy.CallID(f.must(2)), Customer: policy.Customer(f.number(3)), Key: policy.Key(f.text(5)),
-		Repeat: bits&2 != 0, Write: bits&4 != 0, Left: f.nanos(6), Product: policy.Product(f.number(9)),
+		Repeat: bits&2 != 0, Write: bits&4 != 0, Left: f.nanos(6), Work: f.hint(bits), Product: policy.Product(f.number(9)),
 	}
 }
 
+// hint is the expected work, 0 where the line says that it is not valid.
+func (f *fields) hint(bits int64) policy.Nanos {
+	if n := f.nanos(7); bits&1 != 0 {
+		return max(0, n)
+	}
+	return 0
+}
+
 func (f *fields) ending() policy.Ending {
 	code, known := outcomes[f.text(5)]
 	if !known {
@@ -105,6 +113,7 @@
 	return policy.Ending{
 		Call: policy.CallID(f.must(2)), Shot: int(f.number(3)), Final: f.text(4) == "1", Outcome: code,
 		Took: f.nanos(6), Note: int(f.number(7)), Cache: policy.CacheID(f.must(8)),
+		Load: deployment.LoadOf(strings.FieldsFunc(f.text(9), func(r rune) bool { return r == ',' || r == ':' })),
 	}
 }
 
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -60,15 +60,16 @@
 	t := policy.Terms{
 		Balancers: max(1, int(r.num("balancers", 1))), Zone: policy.Zone(r.num("locality", 0)),
 		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
-		OriginKind:   policy.Kind(r.num("extra.originKind", -1)),
-		SecondCopies: pairs["caps.secondCopies"] == "true", MayCancel: pairs["caps.mayCancel"] == "true",
-		MostShots: int(r.num("caps.mostShots", 1)),
-		LiveSizes: pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
+		OriginKind: policy.Kind(r.num("extra.originKind", -1)),
+		MayCancel:  pairs["caps.mayCancel"] == "true",
+		MostShots:  int(r.num("caps.mostShots", 1)),
+		LiveSizes:  pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
 		ColdFrom: r.num("rules.coldFrom", 0.1), RampTime: r.span("rules.rampTimeNs"),
 		FallMultiple: r.num("rules.fallMultiple", 1), FallWindow: r.span("rules.fallNs"),
 		AskEvery: r.span("rules.askEveryNs"), Tick: r.span("tickNs"),
 		KeepAlive: r.span("caps.keepaliveNs"),
 	}
+	t.CrossPrice, t.FetchPrice = r.num("prices.crossZone", 0), r.num("prices.origin", 0)
 	tail, miss := "objectiveMix.tail", "objectiveMix.missShare"
 	if t.MissShare = r.num(miss, 0); t.MissShare < 0 || t.MissShare >= 1 {
 		r.fail(miss, pairs[miss], "a share under 1")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,8 @@
 	b.count(c)
 	c.above = b.beyondAllowance(c)
 	switch {
+	case c.Work > c.terms.LatencySLO && c.terms.OverdueValue == 0:
+		b.giveUp(c)
 	case c.above && b.chance() < max(b.squeeze, b.held/4):
 		b.giveUp(c)
 	case b.terms.Aside && c.Write: // caches do not take writes here
@@ -87,7 +89,7 @@
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
 			// what hosts hold, so does, by draw, one that holds more than two a core: of 1 to 3 two did best.
-			if pass == 0 && float64(h.out) >= mean+2 || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
+			if pass == 0 && (float64(h.out) >= mean+2 || b.yields(h)) || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -99,6 +101,47 @@
 	return nil
 }
 
+// yields draws whether a host that tells of more than the mean load is passed by, as often as would bring it to
+// the mean. Bars of 1.2 and 1.5 times the mean did less.
+func (b *Balancer) yields(h *cache) bool {
+	now := b.host.Now()
+	mean := b.toldMean(now)
+	if h.toldAt == 0 || h.told <= mean {
+		return false
+	}
+	// Where a balancer meets a host once in half a minute, fading within 2 or 6 s forgot most of what was told.
+	return b.chance() > 1/(1+(h.told/mean-1)/(1+(now-h.toldAt).seconds()/window.seconds()))
+}
+
+func (b *Balancer) toldMean(now Nanos) float64 {
+	sum, n := b.told.faded(now)
+	return sum / max(n, 1)
+}
+
+// reported takes what a host tells of its load, or else that it kept a shot for long: how long an API call takes
+// there, against others. Reports come with answers only, and a host that answers nothing sends none.
+func (b *Balancer) reported(h *cache, c *call, e Ending) {
+	now := b.host.Now()
+	switch l := e.Load; {
+	case l != nil:
+		h.told = 1
+		if l.InHand >= 0 {
+			h.told = (l.InHand + 1) / h.weight
+		} else if l.Busy >= 0 {
+			h.told = 1 / (1 - min(l.Busy, 0.95)) // as one queue with one server would hold
+		}
+		if l.Took > 0 {
+			h.told *= l.Took
+		}
+		b.told.add(now, h.told, 1)
+	case e.Took > c.terms.LatencySLO/2 && b.toldMean(now) > 0:
+		h.told = max(h.told, b.toldMean(now)*e.Took.seconds()/b.usual())
+	default:
+		return
+	}
+	h.toldAt = now
+}
+
 // scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none:
 // hosts take only so many, and hundreds of balancers want one each. It serves as well where hosts are cut off
 // or gone and the list is late. It does harm where new hosts come just then: they wait for the second look.
@@ -166,6 +209,9 @@
 		b.origin.out--
 	}
 	if h != nil {
+		if h != b.origin {
+			b.reported(h, c, e)
+		}
 		b.learn(h, c, e, s)
 	}
 	if e.Shot > 0 && s.at != b.origin && !c.missed && e.Outcome != NeverSent && e.Outcome != Missed &&
@@ -236,17 +282,9 @@
 	if c.stream || i < 0 || age >= c.terms.LatencySLO {
 		return
 	}
-	second := b.terms.SecondCopies
-	if b.overdue(c.shots[i].at) > 3*hung || second && age >= c.terms.LatencySLO/2 && b.chance() >= b.squeeze {
-		if second && c.out == 1 && b.furtherPays() {
-			if to := b.next(c); to != nil && b.mayRepeat(c, to) {
-				b.send(c, to)
-				return
-			}
-		} else if !second && b.terms.MayCancel && c.terms.Effect != NonIdempotent && b.furtherPays() {
-			b.host.Cancel(c.ID, i) // its outcome leads to again
-			return
-		}
+	if b.overdue(c.shots[i].at) > 3*hung && b.terms.MayCancel && c.terms.Effect != NonIdempotent && b.furtherPays() {
+		b.host.Cancel(c.ID, i) // its outcome leads to again
+		return
 	}
 	b.host.Wake(b.patience(c), WakeID("p"+c.ID))
 }
@@ -347,7 +385,7 @@
 
 // mayRepeat is the one place that says whether a shot may be sent now, given those before it.
 func (b *Balancer) mayRepeat(c *call, to *cache) bool {
-	return len(c.shots) < b.terms.MostShots && !c.over && (c.out == 0 || c.out == 1 && b.terms.SecondCopies) &&
+	return len(c.shots) < b.terms.MostShots && !c.over && c.out == 0 &&
 		b.harmless(c, func(s shot) bool {
 			return c.terms.Group == GroupAll || c.terms.Group == GroupZone && s.at.Zone == to.Zone ||
 				c.terms.Group == GroupCell && s.at.Cell == to.Cell
@@ -419,7 +457,7 @@
 			break
 		}
 	}
-	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold() {
+	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold()+b.refill() {
 		u.copyAt = candidate.Cache
 	}
 	h := b.caches[u.copyAt]
@@ -447,6 +485,16 @@
 	return reads*b.hop(nearest) - reads*b.hop(candidate) - writes*b.hop(candidate)
 }
 
+// refill is what a copy has to earn beyond the threshold where fetches have a price: with few reads at each
+// balancer the threshold is under one read, and every key read once was fetched once more for each zone. Two
+// hops, a second read, did best; four crowded the homes of popular keys.
+func (b *Balancer) refill() float64 {
+	if b.terms.FetchPrice > b.terms.CrossPrice {
+		return across - inZone
+	}
+	return 0
+}
+
 func (b *Balancer) threshold() float64 {
 	return b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,7 @@
 	out                map[CacheID]bool // taken out by hand, whatever the list says
 	retrying, noted    bool             // noted: caches tell hits from misses
 	owing              bool             // some cache's owed may be set
+	told               meter            // as cache.told, of all
 	met                meter            // shots at caches that found a connection, and that did not
 	beside             int              // shots out at the origin from the other process of an upgrade
 	paired             bool             // there is one
@@ -62,6 +63,8 @@
 	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
 	back                 Nanos   // put back by hand: what was known of it before holds no more
+	told                 float64 // by its last report: how long a further API call would take there
+	toldAt               Nanos
 	owed                 Nanos   // put back by hand and not used since: it is, once this has come
 	budget               float64 // API calls that it may still get while cold
 	budgetAt             Nanos
--- a/policy/types.go
+++ b/policy/types.go
@@ -102,6 +102,14 @@
 	Write    bool
 	Repeat   bool  // a client's further try, where clients mark them
 	Left     Nanos // until the client gives up this try
+	Work     Nanos // what it likely takes on a standard core; 0: not told
+}
+
+// Load is what a cache host tells of itself, late and not exactly. A value that it does not tell is under zero.
+type Load struct {
+	InHand float64 // API calls
+	Busy   float64 // share of its cores
+	Took   float64 // seconds that an API call took lately, without waiting
 }
 
 // Ending is the outcome of one shot.
@@ -113,6 +121,7 @@
 	Took    Nanos
 	Note    int // 1 hit, 2 miss, 3 miss while another API call fetches the key
 	Cache   CacheID
+	Load    *Load // that came with the answer; nil: none
 }
 
 type ProductTerms struct {
@@ -137,7 +146,6 @@
 	MustSubscribe bool
 	Aside         bool // caches answer a miss; the balancer asks the origin
 	OriginKind    Kind // -1: the origin is not listed
-	SecondCopies  bool
 	MayCancel     bool
 	MostShots     int
 	MaxComeBack   Nanos // 0: clients take no advice
@@ -151,4 +159,6 @@
 	KeepAlive     Nanos   // an idle connection lasts so long; 0: not told
 	MissShare     float64 // of API calls late or failed that is tolerated, by product; 0: nothing hangs on a share
 	Tick          Nanos
+	CrossPrice    float64 // for a shot that crosses zones, as a part of an API call's billed value
+	FetchPrice    float64 // for a fetch from the origin, likewise
 }
