--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,9 +2,7 @@
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
 // Streaming, Abandoned, Woke), and it acts by calling the Host it was made with, declared in types.go.
 // It is not safe for concurrent use, keeps no clock and shares nothing.
-//
-// Reading order: the ordinary path (Arrived, next, Ended), the ring, the copies by profit, then what
-// may be repeated, the origin, cold hosts, health, limits, the list.
+// Reading order: Arrived, next, Ended; what may be repeated; the ring, copies; the origin; hosts; the list.
 package policy
 
 import (
@@ -17,8 +15,7 @@
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
 	b := &Balancer{host: host, terms: terms, seed: seed, began: host.Now(), caches: map[CacheID]*cache{},
-		out:    map[CacheID]bool{},
-		ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
+		out: map[CacheID]bool{}, ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		tempos: make([]meter, 2*len(terms.Products)), origin: &cache{limit: mostOut / 4},
 		fleetBears: sparseOut / float64(terms.Balancers)}
@@ -85,7 +82,8 @@
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
 			// what hosts hold, so does, by draw, one that holds more than two a core: of 1 to 3 two did best.
-			if pass == 0 && (float64(h.out) >= mean+2 || b.yields(h)) || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
+			yields := pass == 0 && (float64(h.out) >= mean+2 || b.yields(h))
+			if yields || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
 			}
@@ -97,8 +95,8 @@
 	return nil
 }
 
-// yields draws whether a host that tells of more than the mean load is passed by: by the square of how much more,
-// since most of those that send to it have not heard of it lately. Bars of 1.2 and 1.5 times the mean did less.
+// yields draws whether a host that tells of more than the mean load is passed by, by the square of how much
+// more: most of those that send to it have not heard of it lately. Bars of 1.2 and 1.5 times did less.
 func (b *Balancer) yields(h *cache) bool {
 	now := b.host.Now()
 	mean := b.toldMean(now)
@@ -114,8 +112,8 @@
 	return sum / max(n, 1)
 }
 
-// reported takes what a host tells of its load, or else that it kept a shot for long: how long an API call takes
-// there, against others. Reports come with answers only, and a host that answers nothing sends none.
+// reported takes what a host tells of its load, or else that it kept a shot for long, since one that answers
+// nothing tells nothing: how long an API call takes there, against others.
 func (b *Balancer) reported(h *cache, c *call, e Ending) {
 	now := b.host.Now()
 	switch l := e.Load; {
@@ -129,8 +127,10 @@
 		if l.Took > 0 {
 			h.told *= l.Took
 		}
-		b.told.add(now, h.told, 1)
-		if l.InHand >= 0 && l.Busy >= 0 && l.Busy < 0.9 { // nothing waits there
+		if l.Took != 0 {
+			b.told.add(now, h.told, 1)
+		}
+		if l.Took == 0 || l.InHand >= 0 && l.Busy >= 0 && l.Busy < 0.9 { // nothing was done of late, or waits
 			h.told = min(h.told, b.toldMean(now))
 		}
 	case e.Took > c.terms.LatencySLO/2 && b.toldMean(now) > 0:
@@ -142,8 +142,7 @@
 }
 
 // scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none:
-// hosts take only so many, and hundreds of balancers want one each. It serves as well where hosts are cut off
-// or gone and the list is late. It does harm where new hosts come just then: they wait for the second look.
+// hosts take only so many. New ones that come just then wait for the second look.
 func (b *Balancer) scarce(h *cache) bool {
 	if b.terms.KeepAlive == 0 || h.metAt > 0 && b.host.Now()-h.metAt < b.terms.KeepAlive {
 		return false
@@ -169,9 +168,6 @@
 	c.shots = append(c.shots, shot{at: to, sent: now, out: true, well: to.well})
 	c.out++
 	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
-	if to != b.origin {
-		b.host.Wake(b.patience(c), WakeID("p"+c.ID))
-	}
 }
 
 // Ended takes the outcome of a shot.
@@ -243,26 +239,6 @@
 	return b.chance() < max(0.05, (good+4)/(good+bad+4))
 }
 
-// patience is how long a shot is left alone before its host is looked at: eight looks within the SLO.
-func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
-
-// impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
-// answers nothing (a hang) loses the shot while there is time for another, on more evidence than it takes to
-// lose new ones: a recall throws work away. Three times did better than once, on hangs too. A second copy by
-// age is drawn against the pressure: in an overload all are late and copies make them later.
-func (b *Balancer) impatient(c *call) {
-	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
-	age := b.host.Now() - c.began
-	if c.stream || i < 0 || age >= c.terms.LatencySLO {
-		return
-	}
-	if b.overdue(c.shots[i].at) > 3*hung && b.terms.MayCancel && c.terms.Effect != NonIdempotent && b.furtherPays() {
-		b.host.Cancel(c.ID, i) // its outcome leads to again
-		return
-	}
-	b.host.Wake(b.patience(c), WakeID("p"+c.ID))
-}
-
 // giveUp ends an API call that gets no answer: at once, so that the client can act.
 func (b *Balancer) giveUp(c *call) {
 	if b.mayRateLimit(c) {
@@ -341,8 +317,6 @@
 	switch {
 	case id[0] == 'e' && !c.stream:
 		b.giveUp(c)
-	case id[0] == 'p':
-		b.impatient(c)
 	}
 }
 
@@ -427,7 +401,7 @@
 			break
 		}
 	}
-	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold()+b.refill() {
+	if candidate != home && candidate != nil && u.copyAt == "" && b.profit(u, home, candidate) > b.threshold() {
 		u.copyAt = candidate.Cache
 	}
 	h := b.caches[u.copyAt]
@@ -455,18 +429,14 @@
 	return reads*b.hop(nearest) - reads*b.hop(candidate) - writes*b.hop(candidate)
 }
 
-// refill is what a copy has to earn beyond the threshold where fetches have a price: with few reads at each
-// balancer the threshold is under one read, and every key read once was fetched once more for each zone. Two
-// hops, a second read, did best; four crowded the homes of popular keys.
-func (b *Balancer) refill() float64 {
+// threshold is the design's, and a second read where a fetch has a price above a crossing's: with few reads
+// the design's is under one, and each zone fetched keys read once. Four hops, not two, crowded popular homes.
+func (b *Balancer) threshold() float64 {
+	t := b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
 	if b.terms.FetchPrice > b.terms.CrossPrice {
-		return across - inZone
+		t += across - inZone
 	}
-	return 0
-}
-
-func (b *Balancer) threshold() float64 {
-	return b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
+	return t
 }
 
 const (
@@ -523,20 +493,15 @@
 
 // ---- the origin
 
-// originBears: reads leave a quarter of what the origin bears to writes.
-func (b *Balancer) originBears(c *call) bool {
-	most := b.origin.limit
-	if !c.Write {
-		most = max(1, 0.75*most)
-	}
-	return float64(b.origin.out+b.beside) < most && b.host.Now() >= b.origin.restUntil
-}
-
 // askOrigin sends to the origin as much as it is seen to bear; reads leave a quarter of that to writes.
 // What it could not answer in time is rate-limited at once: queued reads would come late and keep it slow.
 func (b *Balancer) askOrigin(c *call) {
-	o := b.origin
-	if o.Cache == "" || o.Condition != Up || !b.mayRepeat(c, o) || !b.originBears(c) {
+	o, most := b.origin, b.origin.limit
+	if !c.Write {
+		most = max(1, 0.75*most)
+	}
+	full := float64(o.out+b.beside) >= most || b.host.Now() < o.restUntil
+	if o.Cache == "" || o.Condition != Up || full || !b.mayRepeat(c, o) {
 		b.pressed(c)
 		b.giveUp(c)
 		return
@@ -697,8 +662,8 @@
 		// Never more than doubled: steps of one, times hundreds of balancers, made limits that bind nobody.
 		step := 1 / max(1, h.limit)
 		if h == b.origin && h.cutAt == 0 {
-			// Nothing tells at first what the origin bears: it stood idle for eight seconds while misses were given up.
-			// 1 did as well, but came nearer to what makes an origin stop.
+			// Nothing tells at first what it bears: it stood idle for seconds while misses were given up. 1 did as
+			// well, but came nearer to what makes an origin stop.
 			step = 0.3
 		}
 		h.limit = min(mostOut, h.limit+min(step, h.limit))
@@ -780,8 +745,7 @@
 // bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
 // stops at half of what the host bears, and cheap products a little before dear ones.
 func (b *Balancer) bears(h *cache, c *call) bool {
-	n := h.limit * b.portion(c)
-	now := b.host.Now()
+	n, now := h.limit*b.portion(c), b.host.Now()
 	if n < 1 && h.out == 0 {
 		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
 		return now >= h.restUntil && (now-h.lastEnded).seconds() >= max(b.usual(), h.took)*(1/n-1)
@@ -799,18 +763,16 @@
 	return 1
 }
 
-// room tells whether the fleet bears one more. Each of hundreds of balancers meets a host too seldom to see
-// it crowded, but sees together what became of its last shots: the limit of all falls where a quarter of them
-// are not in time, and fewer hosts than that cannot pull it down.
+// room tells whether the fleet bears one more. One of hundreds of balancers meets a host too seldom to see it
+// crowded, but sees what became of its last shots: the limit of all falls where a quarter are not in time.
 func (b *Balancer) room(c *call) bool {
 	return float64(b.shotsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
 }
 
 // ---- fairness
 
-// pressed notes that an API call within its allowance found no room: more of what lies beyond one is
-// then rate-limited on arrival, and less again as calls find room. One in ten and one in two hundred settle
-// where about one in twenty finds none.
+// pressed notes that an API call within its allowance found no room: more of what lies beyond one is then
+// rate-limited on arrival, less again as calls find room; it settles where about one in twenty finds none.
 func (b *Balancer) pressed(c *call) {
 	if !c.above {
 		b.squeeze = min(1, b.squeeze+0.1)
@@ -892,12 +854,6 @@
 // up tells that a host may be sent to: the list names it so and nobody has taken it out.
 func (b *Balancer) up(h *cache) bool { return h.Condition == Up && !b.out[h.Cache] }
 
-// Knows tells whether an id is a cache's, listed or out by hand; the origin is none.
-func (b *Balancer) Knows(id CacheID) bool {
-	h := b.caches[id]
-	return b.out[id] || h != nil && h != b.origin
-}
-
 // Exclude takes a cache out by hand until Include: no list lifts that, nor its leaving the list.
 func (b *Balancer) Exclude(id CacheID) (known, held bool) {
 	if known = b.Knows(id); !known || len(b.out) >= mostExcluded && !b.out[id] {
@@ -954,21 +910,6 @@
 	return nil
 }
 
-// Fleet counts the caches that are listed, and those of them that this balancer avoids, by hand or by choice.
-func (b *Balancer) Fleet() (listed, avoided int) {
-	now := b.host.Now()
-	for _, h := range b.caches {
-		if h == b.origin || h.Condition == Gone {
-			continue
-		}
-		listed++
-		if mean, bar, _ := b.standing(h); !b.up(h) || now < h.absentUntil || mean < bar {
-			avoided++
-		}
-	}
-	return listed, avoided
-}
-
 // forget drops a host that is gone once nothing is out there: others come under new ids all day.
 func (b *Balancer) forget(h *cache) {
 	if h.Condition == Gone && h.out == 0 && h != b.origin {
--- a/policy/state.go
+++ b/policy/state.go
@@ -288,3 +288,24 @@
 
 // AtOrigin is what this process has out there.
 func (b *Balancer) AtOrigin() int { return b.origin.out }
+
+// Knows tells whether an id is a cache's, listed or out by hand; the origin is none.
+func (b *Balancer) Knows(id CacheID) bool {
+	h := b.caches[id]
+	return b.out[id] || h != nil && h != b.origin
+}
+
+// Fleet counts the caches that are listed, and those of them that this balancer avoids, by hand or by choice.
+func (b *Balancer) Fleet() (listed, avoided int) {
+	now := b.host.Now()
+	for _, h := range b.caches {
+		if h == b.origin || h.Condition == Gone {
+			continue
+		}
+		listed++
+		if mean, bar, _ := b.standing(h); !b.up(h) || now < h.absentUntil || mean < bar {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
