--- a/policy/policy.go
+++ b/policy/policy.go
@@ -169,9 +169,6 @@
 	c.shots = append(c.shots, shot{at: to, sent: now, out: true, well: to.well})
 	c.out++
 	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
-	if to != b.origin {
-		b.host.Wake(b.patience(c), WakeID("p"+c.ID))
-	}
 }
 
 // Ended takes the outcome of a shot.
@@ -243,26 +240,6 @@
 	return b.chance() < max(0.05, (good+4)/(good+bad+4))
 }
 
-// patience is how long a shot is left alone before its host is looked at: eight looks within the SLO.
-func (b *Balancer) patience(c *call) Nanos { return max(b.terms.Tick, c.terms.LatencySLO/8) }
-
-// impatient looks at an API call whose shot is still out. A big piece of work is left to run; a host that
-// answers nothing (a hang) loses the shot while there is time for another, on more evidence than it takes to
-// lose new ones: a recall throws work away. Three times did better than once, on hangs too. A second copy by
-// age is drawn against the pressure: in an overload all are late and copies make them later.
-func (b *Balancer) impatient(c *call) {
-	i := slices.IndexFunc(c.shots, func(s shot) bool { return s.out && s.at != b.origin })
-	age := b.host.Now() - c.began
-	if c.stream || i < 0 || age >= c.terms.LatencySLO {
-		return
-	}
-	if b.overdue(c.shots[i].at) > 3*hung && b.terms.MayCancel && c.terms.Effect != NonIdempotent && b.furtherPays() {
-		b.host.Cancel(c.ID, i) // its outcome leads to again
-		return
-	}
-	b.host.Wake(b.patience(c), WakeID("p"+c.ID))
-}
-
 // giveUp ends an API call that gets no answer: at once, so that the client can act.
 func (b *Balancer) giveUp(c *call) {
 	if b.mayRateLimit(c) {
@@ -341,8 +318,6 @@
 	switch {
 	case id[0] == 'e' && !c.stream:
 		b.giveUp(c)
-	case id[0] == 'p':
-		b.impatient(c)
 	}
 }
 
