--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 			}
 			// The design's yield: two or more above this balancer's mean goes to the next. Where the list tells
 			// what hosts hold, so does, by draw, one that holds more than two a core: of 1 to 3 two did best.
-			yields := pass == 0 && (float64(h.out) >= mean+2 || b.yields(h))
+			yields := pass == 0 && float64(h.out) >= mean+2 || b.yields(h, c, pass)
 			if yields || h.held*b.chance() > 2+2*float64(pass) || !b.bears(h, c) {
 				busy++
 				continue
@@ -96,15 +96,19 @@
 }
 
 // yields draws whether a host that tells of more than the mean load is passed by, by the square of how much
-// more: most of those that send to it have not heard of it lately. Bars of 1.2 and 1.5 times did less.
-func (b *Balancer) yields(h *cache) bool {
+// more, as most that send to it have not heard of it; at the second look, whether a call would be late there.
+func (b *Balancer) yields(h *cache, c *call, pass int) bool {
 	now := b.host.Now()
 	mean := b.toldMean(now)
-	if h.toldAt == 0 || h.told <= mean {
+	if mean == 0 || h.told <= mean {
 		return false
 	}
 	// Where a balancer meets a host once in half a minute, fading within 2 or 6 s forgot most of what was told.
-	return b.chance() > math.Pow(1+(h.told/mean-1)/(1+(now-h.toldAt).seconds()/window.seconds()), -2)
+	over := 1 + (h.told/mean-1)/(1+(now-h.toldAt).seconds()/window.seconds())
+	if pass > 0 {
+		return c.terms.OverdueValue == 0 && over*b.usual() > c.terms.LatencySLO.seconds()
+	}
+	return b.chance() > math.Pow(over, -2)
 }
 
 func (b *Balancer) toldMean(now Nanos) float64 {
@@ -197,9 +201,6 @@
 	}
 	c.out--
 	if h != nil {
-		if h != b.origin {
-			b.reported(h, c, e)
-		}
 		b.learn(h, c, e, s)
 	}
 	if e.Shot > 0 && s.at != b.origin && !c.missed && e.Outcome != NeverSent && e.Outcome != Missed &&
@@ -491,8 +492,6 @@
 	}
 }
 
-// ---- the origin
-
 // askOrigin sends to the origin as much as it is seen to bear; reads leave a quarter of that to writes.
 // What it could not answer in time is rate-limited at once: queued reads would come late and keep it slow.
 func (b *Balancer) askOrigin(c *call) {
@@ -626,6 +625,7 @@
 		b.adapt(h, slo, good, over, full, crowd)
 		return
 	}
+	b.reported(h, c, e)
 	if e.Outcome == Fulfilled {
 		b.pace.add(now, e.Took.seconds(), 1)
 	}
@@ -769,8 +769,6 @@
 	return float64(b.shotsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
 }
 
-// ---- fairness
-
 // pressed notes that an API call within its allowance found no room: more of what lies beyond one is then
 // rate-limited on arrival, less again as calls find room; it settles where about one in twenty finds none.
 func (b *Balancer) pressed(c *call) {
