--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -52,6 +52,13 @@
 	return dir
 }
 
+// oneHost is a directory and a configuration with a cache host that answers all.
+func oneHost(t *testing.T) (dir string, c map[string]any) {
+	d := newList(t)
+	d.set("h", newHost(t, "h", hit).addr, "cache", "active")
+	return shortDir(t), config(d, freeAddr(t), through)
+}
+
 // Ten versions, one after the other, under clients that open connections all the time: none is refused or closed with
 // its call unheard, each call gets its answer, and what is out by hand stays out.
 func TestUpgradesUnderLoad(t *testing.T) {
@@ -116,10 +123,7 @@
 
 // A ban that either door takes holds in both processes, and after one of them was killed.
 func TestBansOfBoth(t *testing.T) {
-	h := newHost(t, "h", hit)
-	d := newList(t)
-	d.set("h", h.addr, "cache", "active")
-	dir, c := shortDir(t), config(d, freeAddr(t), through)
+	dir, c := oneHost(t)
 	old, first := ready(t, c, dir)
 	p, second := ready(t, c, dir)
 	doors := map[string]string{"older": first, "newer": second}
@@ -198,10 +202,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			h := newHost(t, "h", hit)
-			d := newList(t)
-			d.set("h", h.addr, "cache", "active")
-			dir, c := shortDir(t), config(d, freeAddr(t), through)
+			dir, c := oneHost(t)
 			path := filepath.Join(dir, "streamrail-"+strings.ReplaceAll(c["listen"].(string), ":", "_"))
 			row.before(t, path+".sock", path+".out")
 			p, _ := ready(t, c, dir)
@@ -225,10 +226,7 @@
 
 // A newer process that ends before it is ready leaves the older one as it was; a third one meets it again.
 func TestHeirDies(t *testing.T) {
-	h := newHost(t, "h", hit)
-	d := newList(t)
-	d.set("h", h.addr, "cache", "active")
-	dir, c := shortDir(t), config(d, freeAddr(t), through)
+	dir, c := oneHost(t)
 	old, _ := ready(t, c, dir)
 	sock := filepath.Join(dir, "streamrail-"+strings.ReplaceAll(old.addr, ":", "_")+".sock")
 	conn, err := net.Dial("unix", sock)
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -91,7 +91,7 @@
 				won = e.Outcome == policy.Fulfilled && !c.settled
 				c.settled = c.settled || won
 				b.module.Ended(policy.Ending{Call: c.id, Shot: e.shot, Final: c.settled, Outcome: e.Outcome,
-					Took: policy.Nanos(e.took), Note: e.Note, Load: e.Load, Cache: c.shots[e.shot].To})
+					Took: policy.Nanos(e.took), Load: e.Load, Cache: c.shots[e.shot].To})
 			})
 			if won {
 				b.tally.fulfilled.Add(1)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -169,7 +169,7 @@
 		d.ClientTimeout = max(d.ClientTimeout, time.Duration(r.num(fmt.Sprintf("products.%d.clientTimeoutNs", i), 3e9)))
 	}
 	d.MostOpen = int(r.num("caps.maxOpen", 1024))
-	d.Reports = pairs["report.source"] == "answers"
+	d.Reports = reportSources[pairs["report.source"]]
 	return r.err
 }
 
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -21,6 +21,9 @@
 	"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
 }
 
+// reportSources are where hosts may tell their load, and whether that is with answers.
+var reportSources = map[string]bool{"": false, "none": false, "probe": false, "answers": true}
+
 // reader reads pairs and remembers the first that is faulty.
 type reader struct {
 	pairs Pairs
@@ -80,11 +83,7 @@
 		KeepAlive: r.span("caps.keepaliveNs"),
 	}
 	t.CrossPrice, t.FetchPrice = r.price("prices.crossZone"), r.price("prices.origin")
-	switch source := pairs["report.source"]; source {
-	case "", "none", "probe", "answers":
-	default:
-		r.fail("report.source", source, "answers, probe or none")
-	}
+	pick(r, "report.source", "answers, probe or none", reportSources)
 	if pairs["caps.retryAfter"] == "true" {
 		t.MaxComeBack = r.span("caps.maxRetryAfterNs")
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,18 +38,27 @@
 	"active": policy.Up, "leaving": policy.Draining, "left": policy.Gone,
 }
 
+// answer is what discovery says, as JSON.
+type answer struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []instance `json:"instances"`
+}
+
+type instance struct {
+	InstanceID  string   `json:"instanceId"`
+	HostPort    string   `json:"hostPort"`
+	Zone        string   `json:"zone"`
+	MachineType string   `json:"machineType"`
+	Cell        int      `json:"cell"`
+	Lifecycle   string   `json:"lifecycle"`
+	Weight      *float64 `json:"weight"` // absent: 1
+	StartedAtMs int64    `json:"startedAtMs"`
+}
+
 // Parse reads an answer. A list with a faulty entry is not taken at all: half a list would take hosts away.
 func (n Names) Parse(text []byte) (l List, err error) {
-	var body struct {
-		Generation int64
-		Reset      bool
-		Instances  []struct {
-			InstanceID, HostPort, Zone, MachineType, Lifecycle string
-			Cell                                               int
-			Weight                                             *float64
-			StartedAtMs                                        int64
-		}
-	}
+	var body answer
 	if err = json.Unmarshal(text, &body); err != nil {
 		return l, err
 	}
@@ -83,24 +92,10 @@
 
 // Format writes a list as Parse reads it.
 func (n Names) Format(l List) []byte {
-	type instance struct {
-		InstanceID  string  `json:"instanceId"`
-		HostPort    string  `json:"hostPort"`
-		Zone        string  `json:"zone"`
-		MachineType string  `json:"machineType"`
-		Cell        int     `json:"cell"`
-		Lifecycle   string  `json:"lifecycle"`
-		Weight      float64 `json:"weight"`
-		StartedAtMs int64   `json:"startedAtMs"`
-	}
-	body := struct {
-		Generation int64      `json:"generation"`
-		Reset      bool       `json:"reset"`
-		Instances  []instance `json:"instances"`
-	}{Generation: l.Generation, Reset: l.Whole, Instances: []instance{}}
+	body := answer{Generation: l.Generation, Reset: l.Whole, Instances: []instance{}}
 	for _, h := range l.Hosts {
 		body.Instances = append(body.Instances, instance{string(h.Cache), h.Addr, nameOf(n.Zones, h.Zone), nameOf(n.Kinds, h.Kind),
-			int(h.Cell), nameOf(conditions, h.Condition), h.Size, int64(h.Born / policy.Millisecond)})
+			int(h.Cell), nameOf(conditions, h.Condition), &h.Size, int64(h.Born / policy.Millisecond)})
 	}
 	text, _ := json.Marshal(body)
 	return text
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -16,7 +16,7 @@
 // no number or one that no host can have, and a name that comes again are passed over; nil: nothing is left.
 func Parse(text, sign string) *policy.Load {
 	l := policy.Load{InHand: -1, Busy: -1, Took: -1}
-	for range most {
+	for n := 0; n < most && text != ""; n++ {
 		var pair string
 		pair, text, _ = strings.Cut(text, ",")
 		name, value, _ := strings.Cut(pair, sign)
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -224,7 +224,6 @@
 	ID      []byte
 	Length  int // of the value that follows
 	Receipt []byte
-	Note    int    // 1 hit, 2 miss, 3 miss while another fetch of the key is out
 	Report  []byte // of the host's load, as it stands
 }
 
@@ -249,15 +248,13 @@
 	case "SERVER_ERROR":
 		// Only the very words prove anything: noise that begins like them may hide work that was done.
 		text, report := word(rest)
-		if len(report) > 0 && isReport(report) {
-			a.Report = report[1:]
-		}
-		switch {
-		case len(report) > 0 && !isReport(report):
+		if len(report) > 0 && !a.report(report) {
 			return a, errAnswer
-		case string(text) == "busy":
+		}
+		switch string(text) {
+		case "busy":
 			a.Reply = TurnedAway
-		case string(text) == "failed":
+		case "failed":
 			a.Reply = Errored
 		default:
 			return a, errAnswer
@@ -269,12 +266,9 @@
 	for flag := range flags(rest) {
 		switch flag[0] {
 		default:
-			if a.Reply == Miss && !isReport(flag) {
+			if !a.report(flag) && a.Reply == Miss {
 				return a, errAnswer // a miss proves that nothing ran
 			}
-			if isReport(flag) && a.Report == nil {
-				a.Report = flag[1:]
-			}
 		case 'O':
 			if a.ID != nil {
 				return a, errAnswer
@@ -282,20 +276,23 @@
 			a.ID = flag[1:]
 		case 'c':
 			a.Receipt = flag[1:]
-		case 'h':
-			a.Note = 2
-			if string(flag) == "h1" {
-				a.Note = 1
-			}
-		case 'Z':
-			a.Note = 3
+		case 'h', 'Z': // how a read went
 		}
 	}
 	return a, nil
 }
 
-// isReport tells a load report from other words; what it holds does not matter here, so that it may be spoilt.
-func isReport(s []byte) bool { return s[0] == 'L' }
+// report takes a word that is a load report, the first if there are more; what it holds does not matter here, so that
+// it may be spoilt.
+func (a *Answer) report(word []byte) bool {
+	if word[0] != 'L' {
+		return false
+	}
+	if a.Report == nil {
+		a.Report = word[1:]
+	}
+	return true
+}
 
 // AppendValue appends the line of a value; the value and a line end follow it.
 func AppendValue(to, id []byte, length int) []byte {
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -366,6 +366,6 @@
 		c.settle(record.Fulfilled, 0)
 	}
 	b.mod.Ended(policy.Ending{Call: policy.CallID(c.id), Shot: s.n, Final: c.settled, Outcome: o, Took: policy.Nanos(b.d.now - s.sent),
-		Note: note, Cache: policy.CacheID(s.server())})
+		Cache: policy.CacheID(s.server())})
 	b.leave(c)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -190,7 +190,6 @@
 	if err != nil {
 		return r, false, err
 	}
-	r.Note = a.Note
 	if c.hosts.limits.Reports {
 		r.Load = loadreport.Parse(string(a.Report), "=")
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,7 +19,6 @@
 // Result is the outcome of a shot, as far as it is proven.
 type Result struct {
 	Outcome policy.Outcome
-	Note    int
 	Load    *policy.Load  // of the host, where answers tell it
 	Body    []byte        // the value, or a write's receipt; not of a value that was passed on
 	Peer    time.Duration // of its time, what a long value took at the client's pace
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,9 +40,8 @@
 	b.count(c)
 	c.above = b.beyondAllowance(c)
 	switch {
-	case c.Work > c.terms.LatencySLO && c.terms.OverdueValue == 0:
-		b.giveUp(c)
-	case c.above && b.chance() < max(b.squeeze, b.held/4):
+	case c.Work > c.terms.LatencySLO && c.terms.OverdueValue == 0,
+		c.above && b.chance() < max(b.squeeze, b.held/4):
 		b.giveUp(c)
 	case b.terms.Aside && c.Write: // caches do not take writes here
 		b.askOrigin(c)
@@ -611,7 +610,6 @@
 	} else if over {
 		over, h.badAt = h.well-min(s.well, h.badAt) < loneAfter, h.well
 	}
-	crowd := 2 * e.Took.seconds() / slo.seconds()
 	if full { // a full host answers at once and looks idle: unrested it draws the traffic of all
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
@@ -622,14 +620,12 @@
 		h.rest /= 2
 	}
 	if h == b.origin {
-		b.adapt(h, slo, good, over, full, crowd)
+		b.adapt(h, slo, good, over, full, 2*e.Took.seconds()/slo.seconds())
 		return
 	}
 	b.reported(h, c, e)
 	if e.Outcome == Fulfilled {
 		b.pace.add(now, e.Took.seconds(), 1)
-	}
-	if e.Outcome == Fulfilled {
 		h.delay.add(now, b.delayOf(h, c, e.Took), 1)
 	}
 	sum, n := h.delay.faded(now)
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -55,7 +55,6 @@
 type reply struct {
 	outcome Outcome
 	took    Nanos
-	note    int
 	stray   int // every so many-th shot ends as instead
 	as      Outcome
 	load    *Load
@@ -118,7 +117,7 @@
 func (s *stage) Cancel(id CallID, n int) {
 	s.act("cancel %s %d", id, n)
 	d := s.owed[id]
-	s.later(Millisecond, func() { s.end(id, n, Cancelled, s.now-d.shots[n].sent, 0) })
+	s.later(Millisecond, func() { s.end(id, n, Cancelled, s.now-d.shots[n].sent) })
 }
 
 // mayRun is the table of the wire: what an outcome proves.
@@ -184,13 +183,13 @@
 		ok = r.as != TimedOut // nothing comes at all
 	}
 	if ok && r.took < timeout {
-		s.later(r.took, func() { s.told = r.load; s.end(id, n, r.outcome, r.took, r.note); s.told = nil })
+		s.later(r.took, func() { s.told = r.load; s.end(id, n, r.outcome, r.took); s.told = nil })
 	} else {
-		s.later(timeout, func() { s.end(id, n, TimedOut, timeout, 0) })
+		s.later(timeout, func() { s.end(id, n, TimedOut, timeout) })
 	}
 }
 
-func (s *stage) end(id CallID, n int, o Outcome, took Nanos, note int) {
+func (s *stage) end(id CallID, n int, o Outcome, took Nanos) {
 	d := s.owed[id]
 	x := &d.shots[n]
 	if !x.out { // it was cancelled or answered before
@@ -199,7 +198,7 @@
 	x.out, x.ran = false, o != TurnedAway && o != ConnectFailed && o != NeverSent && o != Missed
 	was := d.done
 	d.done = d.done || o == Fulfilled
-	s.b.Ended(Ending{Call: id, Shot: n, Final: was || o == Fulfilled, Outcome: o, Took: took, Note: note, Cache: x.at.Cache, Load: s.told})
+	s.b.Ended(Ending{Call: id, Shot: n, Final: was || o == Fulfilled, Outcome: o, Took: took, Cache: x.at.Cache, Load: s.told})
 }
 
 func (s *stage) final(id CallID, what string) {
@@ -347,8 +346,7 @@
 		s.moveTo(s.now + Nanos(o.num("ns", 0)) + o.ms("ms", 0))
 	case "answer":
 		for _, h := range strings.Split(w[1], ",") {
-			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("note", 0)),
-				int(o.num("stray", 0)), outcomeWords[o["as"]], o.load()}
+			s.auto[CacheID(h)] = reply{outcomeWords[w[2]], o.ms("took", 10), int(o.num("stray", 0)), outcomeWords[o["as"]], o.load()}
 		}
 	case "call":
 		s.arrive(CallID(w[1]), o, w[2])
@@ -373,7 +371,7 @@
 		s.did = nil
 	case "end":
 		n, _ := strconv.Atoi(w[2])
-		s.end(CallID(w[1]), n, outcomeWords[w[3]], s.now-s.owed[CallID(w[1])].shots[n].sent, int(o.num("note", 0)))
+		s.end(CallID(w[1]), n, outcomeWords[w[3]], s.now-s.owed[CallID(w[1])].shots[n].sent)
 	case "abandon":
 		s.owed[CallID(w[1])].done = true
 		s.b.Abandoned(CallID(w[1]))
--- a/policy/types.go
+++ b/policy/types.go
@@ -119,7 +119,6 @@
 	Final   bool // the API call is over
 	Outcome Outcome
 	Took    Nanos
-	Note    int // 1 hit, 2 miss, 3 miss while another API call fetches the key
 	Cache   CacheID
 	Load    *Load // that came with the answer; nil: none
 }
