A client opens a connection of its own after many closed ones; name when one was closed

The report now says when the connection was closed: it gave no time at all, so none was closed on the call in hand. The calls had met 101 resting connections in turn that the balancer had closed after their 2.05 s of rest, and the client took the last for an answer (load/conn.go, mostCrossed). The 3 s in which balancer 1 stands still at 10 s leave more than 200 connections, taken from the top of a stack; the first burst that goes deeper finds them all closed. Ruled out: the balancer's own reads after SIGSTOP, and the bound of 50 ms on a crossing.

After 100 the client now opens a new one. The test fails before with "closed after 101". Quiet plays of `measure members` begin without loss (with 30% the views of 400 were never all equal in a minute, so the play ended before it began), are cut into plays of 25 minutes, and have their own length with stalls (--stalled).

--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -428,6 +428,7 @@
 	Seeds    int           `default:"200" help:"With members: seeds in virtual time."`
 	Times    int           `default:"10" help:"With members: how many deaths and starts on sockets; a third as many cuts."`
 	Quiet    time.Duration `default:"2h" help:"With members: how long each quiet fleet is played in virtual time."`
+	Stalled  time.Duration `default:"2h" help:"With members: how long the fleet with 5% loss and stalls is played in virtual time."`
 	Balancer string        `help:"The balancer program; by default streamrail beside this one." type:"path" placeholder:"FILE"`
 	Rates    []float64     `default:"500,1000,2000,4000,8000,16000" help:"API calls a second."`
 	For      time.Duration `default:"4s" help:"How long each rate is kept up, each way."`
@@ -479,7 +480,7 @@
 		}
 	}
 	for _, n := range c.Virtual {
-		show(measure.Virtual(n, c.Seeds, runtime.GOMAXPROCS(0), c.Quiet))
+		show(measure.Virtual(n, c.Seeds, runtime.GOMAXPROCS(0), c.Quiet, c.Stalled, os.Stderr))
 	}
 	for _, n := range c.Sockets {
 		m, err := measure.OnSockets(ctx, runner.Program(program), n, c.Times)
--- a/internal/rehearsal/gather/measure.go
+++ b/internal/rehearsal/gather/measure.go
@@ -141,13 +141,17 @@
 	Played             time.Duration
 }
 
-// Quiet plays a whole fleet for a while; a mate stands still every so often, up to so long, where that is given.
+// Quiet plays a whole fleet for a while; a mate stands still every so often, up to so long, where that is given. Loss
+// begins when all see all: with much of it some suspicion is in the way of equal views at most times.
 func Quiet(t Terms, length, stallEvery, stall time.Duration) (c Calm) {
+	loss := t.Ways.Loss
+	t.Ways.Loss = 0
 	p := New(t)
 	if !p.Whole(time.Minute) {
 		c.Deaths = -1
 		return c
 	}
+	p.common.Loss = loss
 	p.Run(p.Now + 10*time.Second)
 	for _, m := range p.Mates {
 		m.Bytes, m.Sent = 0, 0
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -253,7 +253,7 @@
 	c.checked[OneAnswer]++
 	switch {
 	case k.Reply == record.Closed:
-		c.breach(OneAnswer, k.ID, k.Timeout, 0, "its connection was closed with no whole answer")
+		c.breach(OneAnswer, k.ID, k.Timeout, 0, "its connection was closed %v after it was sent, with no whole answer", k.Ended-k.Sent)
 	// A value goes on as it comes: what its server broke off cannot be finished, and the client can tell.
 	case k.Reply == record.CutShort && !slices.ContainsFunc(c.shots[k.ID], func(s record.Shot) bool { return !s.Answered }):
 		c.breach(OneAnswer, k.ID, k.Answered, 0, "its value was cut short, and no server had done that")
--- a/internal/rehearsal/load/conn.go
+++ b/internal/rehearsal/load/conn.go
@@ -75,7 +75,7 @@
 	k.Balancer = c.pick(zone, k.Tenant)
 	f := c.fronts[k.Balancer]
 	for {
-		co, addr := f.take()
+		co, addr := f.take(k.Crossed < mostCrossed)
 		if co == nil {
 			var err error
 			if co, err = dial(addr, max(time.Millisecond, k.Timeout-c.w.Now())); err != nil {
@@ -83,19 +83,16 @@
 				return
 			}
 		}
-		again := c.over(co, k, write, f)
-		if !again {
-			return
-		}
-		if k.Crossed++; k.Crossed > mostCrossed {
-			k.Reply = record.Closed
+		if !c.over(co, k, write, f) {
 			return
 		}
+		k.Crossed++
 	}
 }
 
-// mostCrossed is how many closed connections a client meets before it takes that for an answer: all that rested may
-// have been closed at once.
+// mostCrossed is how many closed connections a client meets before it opens one of its own. A balancer that stood still
+// for seconds leaves hundreds that were opened meanwhile, and closes them all when they have rested long enough; taking
+// the hundredth for an answer blamed the balancer for what its clients kept.
 const mostCrossed = 100
 
 // crossesIn is within what time of the call's last byte the close of a resting connection, on its way by then, is seen;
@@ -147,7 +144,7 @@
 				(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)):
 				return true // closed with not a byte of an answer: that crossed the call
 			default:
-				k.Reply = record.Closed
+				k.Reply, k.Ended = record.Closed, now
 				k.Excused = f.ends()
 			}
 			return false
--- a/internal/rehearsal/load/load.go
+++ b/internal/rehearsal/load/load.go
@@ -276,11 +276,11 @@
 	return f.up
 }
 
-// take hands out a connection that rests, nil where there is none, and the address for a new one.
-func (f *front) take() (c *conn, addr string) {
+// take hands out a connection that rests, nil where there is none or none is wanted, and the address for a new one.
+func (f *front) take(rested bool) (c *conn, addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n := len(f.rest); n > 0 {
+	if n := len(f.rest); rested && n > 0 {
 		c, f.rest = f.rest[n-1], f.rest[:n-1]
 	}
 	return c, f.addr
--- /dev/null
+++ b/internal/rehearsal/load/load_test.go
@@ -0,0 +1,61 @@
+package load
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"streamrail/internal/rehearsal/record"
+	"streamrail/internal/rehearsal/scenario"
+	"streamrail/internal/rehearsal/standin"
+)
+
+// A balancer that stood still leaves more resting connections than a client tries: their close is no answer of its.
+func TestManyClosedWhileTheyRested(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	day := &scenario.Day{Seed: 1, Products: []scenario.Product{{Name: "p"}}, Tenants: []scenario.Tenant{{Name: "t", Share: 1}}}
+	day.Fleet.Balancers, day.Fleet.Zones = 1, []string{"z"}
+	w := standin.NewWorld(day, record.New())
+	f := &front{up: true, addr: l.Addr().String()}
+	for range mostCrossed + 30 {
+		n, err := net.Dial("tcp4", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		far.Close()
+		co := newConn(n)
+		co.used = true
+		f.give(co)
+	}
+	go func() {
+		n, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer n.Close()
+		line, _ := bufio.NewReader(n).ReadString('\n')
+		for word := range strings.FieldsSeq(line) {
+			if id, ok := strings.CutPrefix(word, "O"); ok {
+				n.Write([]byte("SERVER_ERROR busy 5\r\n" + id))
+			}
+		}
+	}()
+	c := &Callers{w: w, fronts: []*front{f}, lateness: hdrhistogram.New(leastMicros, mostMicros, digits)}
+	k := record.Call{ID: "a-1", Key: "k", Timeout: w.Now() + 5*time.Second}
+	c.try(&k, 0, false)
+	if k.Reply != record.RateLimited || k.Crossed != mostCrossed {
+		t.Errorf("%v after %d closed connections, want rate-limited by the one that is open", k.Reply, k.Crossed)
+	}
+}
--- a/internal/rehearsal/measure/members.go
+++ b/internal/rehearsal/measure/members.go
@@ -40,8 +40,12 @@
 		Ways: model.WayTerms{Loss: loss, Delay: time.Millisecond, Jitter: 9 * time.Millisecond}}
 }
 
-// Virtual measures fleets of one size in virtual time: so many seeds on so many lanes, and quiet plays of a length.
-func Virtual(mates, seeds, lanes int, quiet time.Duration) Members {
+// mostPlay is how long one quiet play goes on before the next seed: many starts say more than one long play.
+const mostPlay = 25 * time.Minute
+
+// Virtual measures fleets of one size in virtual time: so many seeds on so many lanes, quiet plays of a length, and plays
+// with loss and stalls of another. Each play that ends is told to note.
+func Virtual(mates, seeds, lanes int, quiet, stalled time.Duration, note io.Writer) Members {
 	m := Members{Mates: mates, Seeds: seeds}
 	var mu sync.Mutex
 	var first, last, birth, heal []time.Duration
@@ -74,16 +78,18 @@
 	}
 	for i := range m.Calm {
 		c := &m.Calm[i]
-		each(lanes, func(seed uint64) {
-			every := time.Duration(0)
-			if c.Stall > 0 {
-				every = 100 * time.Millisecond
-			}
-			got := gather.Quiet(usual(mates, seed, c.Loss), quiet/time.Duration(lanes), every, c.Stall)
+		every, length := time.Duration(0), quiet
+		if c.Stall > 0 {
+			every, length = 100*time.Millisecond, stalled
+		}
+		plays := max(lanes, int((length+mostPlay-1)/mostPlay))
+		each(plays, func(seed uint64) {
+			got := gather.Quiet(usual(mates, seed, c.Loss), length/time.Duration(plays), every, c.Stall)
 			mu.Lock()
 			defer mu.Unlock()
 			c.Suspicions, c.Deaths, c.Played = c.Suspicions+got.Suspicions, c.Deaths+got.Deaths, c.Played+got.Played
-			c.BytesPerS, c.PerS = c.BytesPerS+got.BytesPerS/float64(lanes), c.PerS+got.PerS/float64(lanes)
+			c.BytesPerS, c.PerS = c.BytesPerS+got.BytesPerS/float64(plays), c.PerS+got.PerS/float64(plays)
+			fmt.Fprintf(note, "%d members, loss %.2f, stalls to %v, seed %d: %v played, %d wrong deaths\n", mates, c.Loss, c.Stall, seed, got.Played, got.Deaths)
 		})
 	}
 	return m
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -39,6 +39,7 @@
 	Sent      time.Duration // its last byte was written
 	Timeout   time.Duration // its client leaves then
 	Answered  time.Duration // the last byte of its final answer; 0: none
+	Ended     time.Duration // with Closed: when its connection was found closed
 	Reply     Reply
 	ComeBack  time.Duration // that came with a rate-limited answer
 	Extra     int           // further answers after the final one
