--- a/internal/rehearsal/gather/day.go
+++ b/internal/rehearsal/gather/day.go
@@ -26,6 +26,34 @@
 	moments []moment
 	life    []int // of each balancer, its line in rec.Mates; -1: nobody runs
 	astray  map[int]bool
+	came    [][]arrivals // by balancer and tenant
+}
+
+// needTurns make the second over which a need is measured, as in the balancer.
+const needTurns = 5
+
+// arrivals are the calls of the last turns.
+type arrivals struct {
+	turn int
+	n    [needTurns + 1]int // by turn; the one that goes on among them
+}
+
+func (a *arrivals) to(now time.Duration) {
+	turn := int(now / share.Turn)
+	for k := a.turn + 1; k <= min(turn, a.turn+len(a.n)); k++ {
+		a.n[k%len(a.n)] = 0
+	}
+	a.turn = turn
+}
+
+// perS is how many came in each second of the turns that are over.
+func (a *arrivals) perS(now time.Duration) float64 {
+	a.to(now)
+	sum := -a.n[a.turn%len(a.n)]
+	for _, n := range a.n {
+		sum += n
+	}
+	return float64(sum) / (needTurns * share.Turn.Seconds())
 }
 
 // lookEvery is how often the views are noted, as at the doors of a day on sockets.
@@ -34,8 +62,13 @@
 // restartAfter is how long a balancer that is told to end goes on.
 const restartAfter = 3 * time.Second
 
-// PlayDay plays what the balancers of a day say to each other and notes it. Before may change the play, for tests.
+// PlayDay plays what the balancers of a day say to each other, and notes it; no calls come. Before may change the play, for tests.
 func PlayDay(day *scenario.Day, rec *record.Record, before func(*Play)) {
+	NewDay(day, rec, before).To(day.Length.D())
+}
+
+// NewDay lays out what the balancers of a day will say to each other.
+func NewDay(day *scenario.Day, rec *record.Record, before func(*Play)) *Day {
 	m := day.Mates
 	d := &Day{day: day, rec: rec, astray: map[int]bool{}, Play: New(Terms{Mates: day.Fleet.Balancers, Zones: len(day.Fleet.Zones), Seeds: 3, Period: m.Period.D(), Suspect: m.Suspect.D(),
 		Budget: m.Budget, Seed: day.Seed, Ways: m.Way()})}
@@ -57,10 +90,38 @@
 		d.at(at, d.look)
 	}
 	slices.SortStableFunc(d.moments, func(a, b moment) int { return int(a.at - b.at) })
-	for _, x := range d.moments {
+	return d
+}
+
+// To plays up to a moment.
+func (d *Day) To(until time.Duration) {
+	for len(d.moments) > 0 && d.moments[0].at <= until {
+		x := d.moments[0]
+		d.moments = d.moments[1:]
 		d.Run(x.at)
 		x.do()
 	}
+	d.Run(until)
+}
+
+// Came counts a call of a tenant in at a balancer, now.
+func (d *Day) Came(balancer, tenant int) {
+	if d.Shares != nil {
+		a := &d.came[balancer][tenant]
+		a.to(d.Now)
+		a.n[a.turn%len(a.n)]++
+	}
+}
+
+// Parts tells what a balancer may use of each tenant's allowance now; nothing where no parts move.
+func (d *Day) Parts(balancer int, tell func(tenant int, part float64)) {
+	m := d.Mates[balancer]
+	if m.Share == nil {
+		return
+	}
+	for t, bound := range d.Shares.Bound {
+		tell(t, m.Share.Part(d.Now, t).Of(m.Share.Bound(t))/bound)
+	}
 }
 
 func (d *Day) at(at time.Duration, do func()) { d.moments = append(d.moments, moment{at, do}) }
@@ -97,20 +158,10 @@
 	for t := range n {
 		s.Names, s.Bound = append(s.Names, "allowance of "+d.day.Tenants[t].Name), append(s.Bound, d.day.Allowance(t))
 	}
-	type cell struct{ mate, name, slot int }
-	came := map[cell]int{}
-	for i := range d.rec.Calls {
-		c := &d.rec.Calls[i]
-		came[cell{c.Balancer, c.Tenant, int(c.Due / share.Turn)}]++
-	}
-	const slots = 5 // a second, as in the balancer
-	s.Need = func(mate, name int, now time.Duration) float64 {
-		sum := 0
-		for k := 1; k <= slots; k++ {
-			sum += came[cell{mate, name, int(now/share.Turn) - k}]
-		}
-		return float64(sum) / (slots * share.Turn.Seconds())
+	for range d.day.Fleet.Balancers {
+		d.came = append(d.came, make([]arrivals, n))
 	}
+	s.Need = func(mate, name int, now time.Duration) float64 { return d.came[mate][name].perS(now) }
 	return s
 }
 
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,24 @@
 	life  record.Life
 	dealt bool // the front holds it for alive
 	round int
+	until time.Duration // it stands still until then
+}
+
+// awake lets the process that runs now do something: at once, or when it goes on after it stood still. Where it has ended by
+// then, that is done instead, if anything.
+func (b *balancer) awake(do, ended func()) {
+	lives := b.lives
+	if b.d.now >= b.until && b.mod != nil {
+		do()
+		return
+	}
+	b.d.at(b.until, func() {
+		if b.mod != nil && b.lives == lives {
+			do()
+		} else if ended != nil {
+			ended()
+		}
+	})
 }
 
 // call is an API call as a balancer has it.
@@ -69,6 +88,7 @@
 		return // another fault has started it already
 	}
 	b.lives++
+	b.until = 0
 	b.calls, b.up, b.after = map[policy.CallID]*call{}, map[string]bool{}, 0
 	b.life = record.Life{Balancer: b.index, Start: b.d.now, Ready: max(1, b.d.now)}
 	seed := model.Stream(b.d.Seed, fmt.Sprint("balancer ", b.index, b.lives)).Uint64()
@@ -122,7 +142,13 @@
 
 // hear takes what the register's agent has: the whole list, or what has changed.
 func (b *balancer) hear(whole bool) {
-	if b.mod == nil || b.d.register.Silent(b.index) {
+	if b.mod != nil {
+		b.awake(func() { b.listed(whole) }, nil)
+	}
+}
+
+func (b *balancer) listed(whole bool) {
+	if b.d.register.Silent(b.index) {
 		return
 	}
 	generation, reset, entries := b.d.register.List(b.index, b.after, whole)
@@ -168,6 +194,13 @@
 		delete(b.calls, policy.CallID(c.id))
 		return
 	}
+	if b.d.mates != nil {
+		b.d.mates.To(b.d.now)
+		b.d.mates.Came(b.index, c.rec.Tenant)
+		b.d.mates.Parts(b.index, func(tenant int, part float64) {
+			b.mod.Part(policy.Customer(tenant), max(part, math.SmallestNonzeroFloat64))
+		})
+	}
 	b.mod.Arrived(policy.Call{ID: policy.CallID(c.id), Customer: policy.Customer(c.rec.Tenant), Product: policy.Product(c.rec.Product),
 		Key: policy.Key(c.key), Write: c.write, Left: policy.Nanos(left)})
 	b.leave(c)
@@ -211,7 +244,7 @@
 func (h host) Wake(after policy.Nanos, id policy.WakeID) {
 	h.b.d.after(time.Duration(after), func() {
 		if h.b.mod != nil && h.b.lives == h.lives {
-			h.b.mod.Woke(id)
+			h.b.awake(func() { h.b.mod.Woke(id) }, nil)
 		}
 	})
 }
@@ -268,10 +301,17 @@
 		}
 	})
 	d.after(time.Duration(timeout), func() {
-		if !s.over {
-			s.giveUp()
-			s.end(policy.TimedOut, 0)
+		late := func() {
+			if !s.over {
+				s.giveUp()
+				s.end(policy.TimedOut, 0)
+			}
+		}
+		if b.mod == nil || b.lives != s.lives {
+			late()
+			return
 		}
+		b.awake(late, nil)
 	})
 }
 
@@ -303,7 +343,7 @@
 // refused is a connection that nobody takes. It is noted as a shot: the balancer meant it as one.
 func (s *shot) refused() {
 	s.ended, s.proof = s.b.d.now+s.usual(), record.NeverRan
-	s.b.d.after(s.usual(), func() { s.end(policy.ConnectFailed, 0) })
+	s.b.d.after(s.usual(), func() { s.heard(policy.ConnectFailed, 0) })
 }
 
 // answer sends a server's answer on its way.
@@ -319,7 +359,7 @@
 	if d.Fleet.Mode != scenario.Through {
 		note = 0
 	}
-	d.after(s.way(), func() { s.end(o, note) })
+	d.after(s.way(), func() { s.heard(o, note) })
 }
 
 var proofs = map[policy.Outcome]record.Proof{policy.Fulfilled: record.WasServed, policy.Missed: record.Missed, policy.TurnedAway: record.NeverRan}
@@ -345,6 +385,15 @@
 	})
 }
 
+// heard is what came for a shot: the balancer looks at it when it runs.
+func (s *shot) heard(o policy.Outcome, note int) {
+	if s.b.mod == nil || s.b.lives != s.lives {
+		s.end(o, note)
+		return
+	}
+	s.b.awake(func() { s.end(o, note) }, nil)
+}
+
 // end lets the balancer hear how a shot ended.
 func (s *shot) end(o policy.Outcome, note int) {
 	b := s.b
--- a/internal/rehearsal/virtual/day.go
+++ b/internal/rehearsal/virtual/day.go
@@ -34,6 +34,7 @@
 	latency   *hdrhistogram.Histogram
 	trace     io.Writer // one line an event; nil: none
 	wrong     wrong
+	mates     *gather.Day // nil: balancers do not speak
 }
 
 // wrong is what a day does to its modules on purpose, to see that the judge names it. Its zero value does nothing.
@@ -83,6 +84,9 @@
 		d.register.Set(0, model.Entry{Node: record.Gateway, Zone: s.Fleet.Zones[0], Kind: "origin", Condition: model.Active, Weight: 1})
 	}
 	d.register.Advance(0)
+	if s.Mates.On {
+		d.mates = gather.NewDay(s, d.rec, nil)
+	}
 	for _, b := range d.balancers {
 		b.start()
 	}
@@ -145,15 +149,23 @@
 			ends(record.None, 0)
 			return
 		}
-		b.take(c)
+		b.awake(func() {
+			if !over {
+				b.take(c)
+			}
+		}, func() {
+			k.Excused = true
+			ends(record.Closed, 0)
+		})
 	})
 	d.at(k.Timeout, func() {
-		if !over {
-			if c.b != nil && c.b.mod != nil && !c.settled {
-				c.b.abandoned(c)
-			}
-			ends(record.None, 0)
+		if over {
+			return
+		}
+		if c.b != nil && !c.settled {
+			b.awake(func() { b.abandoned(c) }, nil)
 		}
+		ends(record.None, 0)
 	})
 }
 
@@ -257,8 +269,8 @@
 		d.rec.Shots = append(d.rec.Shots, r)
 	}
 	res := &runner.Result{Day: d.Day, Record: d.rec, Latency: load.PercentilesOf(d.latency), Took: time.Since(began)}
-	if d.Day.Mates.On {
-		gather.PlayDay(d.Day, d.rec, nil)
+	if d.mates != nil {
+		d.mates.To(d.Length.D())
 	}
 	res.Verdict = judge.Judge(d.rec, runner.Terms(d.Day))
 	return res
--- a/internal/rehearsal/virtual/faults.go
+++ b/internal/rehearsal/virtual/faults.go
@@ -94,6 +94,10 @@
 			d.at(from, func() { d.balancers[b].unnoticed(d.Clients.Notice.D()); d.balancers[b].stop() })
 			d.at(to, d.balancers[b].start)
 		}
+	case "balancer-stall":
+		for _, b := range d.HitBalancers(i) {
+			d.at(from, func() { d.balancers[b].until = max(d.balancers[b].until, to) })
+		}
 	case "balancer-restart":
 		for _, b := range d.HitBalancers(i) {
 			d.at(from, func() { d.balancers[b].unnoticed(leavesIn) })
--- a/policy/hand_test.go
+++ b/policy/hand_test.go
@@ -114,3 +114,35 @@
 		t.Errorf("%d of 500 beyond once nothing is told", n)
 	}
 }
+
+// Where all press, a told part makes a glutton of none: not a newborn's floor in its first seconds, and not a part that differs
+// from the others' because calls came elsewhere. Who presses more than most is one.
+func TestToldPartsWhereAllPress(t *testing.T) {
+	s := &stage{T: t, counts: map[string]int{}, now: 1000 * Second}
+	b := New(s, Terms{Balancers: 10, OriginKind: -1, Products: []ProductTerms{{LatencySLO: Second, BilledValue: 1}},
+		Customers: []CustomerTerms{{AllowancePerS: 100}, {AllowancePerS: 100}, {AllowancePerS: 100}}}, 7)
+	parts := []float64{0.01, 0.01, 0.02}
+	for c, p := range parts {
+		b.Part(Customer(c), p)
+	}
+	above := func(perS [3]float64) (n [3]int) { // in four seconds
+		var owed [3]float64
+		for range 400 {
+			s.now += 10 * Millisecond
+			for c := range owed {
+				for owed[c] += perS[c] / 100; owed[c] >= 1; owed[c]-- {
+					if b.beyondAllowance(&call{Call: Call{Customer: Customer(c)}}) {
+						n[c]++
+					}
+				}
+			}
+		}
+		return n
+	}
+	if n := above([3]float64{20, 20, 40}); n[0]+n[1]+n[2] > 50 {
+		t.Errorf("%d of 80, 80 and 160 beyond their parts while all press alike", n)
+	}
+	if n := above([3]float64{20, 20, 200}); n[0]+n[1] > 20 || n[2] < 400 {
+		t.Errorf("%d of 80, 80 and 800 beyond their parts where the last presses most", n)
+	}
+}
