--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -422,7 +422,7 @@
 }
 
 type measureCommand struct {
-	What     string        `arg:"" optional:"" enum:",members" default:"" help:"members: how balancers see each other, in virtual time and on sockets; else what a balancer adds to a call."`
+	What     string        `arg:"" optional:"" enum:",members,limits" default:"" help:"members: how balancers see each other, in virtual time and on sockets; limits: parts that move beside equal ones, in virtual time; else what a balancer adds to a call."`
 	Virtual  []int         `default:"16,100,400" help:"With members: sizes in virtual time."`
 	Sockets  []int         `default:"5,16,40" help:"With members: sizes on sockets."`
 	Seeds    int           `default:"200" help:"With members: seeds in virtual time."`
@@ -448,8 +448,11 @@
 	}
 	ctx, stop := signals()
 	defer stop()
-	if c.What == "members" {
+	switch c.What {
+	case "members":
 		return c.members(ctx, program)
+	case "limits":
+		return c.limits()
 	}
 	if len(c.Clients) > 0 {
 		return c.closed(ctx, program)
@@ -470,6 +473,27 @@
 	return nil
 }
 
+// limits measures what parts that move are worth.
+func (c measureCommand) limits() error {
+	var all []measure.Limits
+	for _, n := range c.Virtual {
+		rows, err := measure.LimitsOf(n, c.Seeds, runtime.GOMAXPROCS(0))
+		if err != nil {
+			return err
+		}
+		for _, l := range rows {
+			if !c.JSON {
+				l.Text(os.Stdout)
+			}
+		}
+		all = append(all, rows...)
+	}
+	if c.JSON {
+		return printJSON(all)
+	}
+	return nil
+}
+
 // members measures how balancers see each other.
 func (c measureCommand) members(ctx context.Context, program string) error {
 	var all []measure.Members
--- a/internal/rehearsal/measure/members.go
+++ b/internal/rehearsal/measure/members.go
@@ -198,16 +198,16 @@
 	for i := range times {
 		b := (7*i + 3) % mates
 		s.Kill(b, 9*time.Second)
-		at, f := time.Now(), gather.Never
+		at, f, l := time.Now(), gather.Never, gather.Never
 		for n := mates; n > 0 && time.Since(at) < 9*time.Second && ctx.Err() == nil; {
 			if n, _ = present(b); n < mates-1 && f == gather.Never {
 				f = time.Since(at)
 			}
 			if n == 0 {
-				last = append(last, time.Since(at))
+				l = time.Since(at)
 			}
 		}
-		first = append(first, f)
+		first, last = append(first, f), append(last, l)
 		time.Sleep(max(0, 9*time.Second-time.Since(at)))
 		for !s.Alive(b) && ctx.Err() == nil {
 			time.Sleep(5 * time.Millisecond)
