--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -16,6 +16,9 @@
 // days is how many drawn days are played: 100000 take four minutes.
 var days = flag.Int("days", 150, "drawn days to play")
 
+// size is how many balancers a drawn day has.
+var size = flag.Int("size", 0, "balancers of each drawn day; 0: 3 to 8, in one of fifty to 40")
+
 // play is some balancers with clocks of their own on a bad network.
 type play struct {
 	now   time.Duration // true time
@@ -180,6 +183,12 @@
 func day(seed uint64, wrong func(*play, int)) (Part, error) {
 	dice := rand.New(rand.NewPCG(seed, 9))
 	n := 3 + dice.IntN(6)
+	switch {
+	case *size > 0:
+		n = *size
+	case seed%50 == 49:
+		n = 9 + dice.IntN(32)
+	}
 	p := newPlay(n, seed)
 	p.wrong = wrong
 	for p.now < 30*time.Second {
