Orders by hand hold for the whole fleet: a host taken out at one door is out at all

Until now a host out by hand was out at the one balancer, whatever the others did. With orders = true in [fleet] the last order on each host goes round: internal/fleet/order (pure), a letter topic in carry, a thin shell. Of two orders the greater count holds, then out before in: a maximum, so loss, repeats and order do not matter and no clock has a part. An order is kept in a file before it is told; GET /api/orders shows who has not confirmed and what was in conflict; wait_ms and force in the calls; more than a part of the hosts is refused, also when two doors did half each.

Found on the way by the processes: orders with a past were dropped by the strict decoder (a list too deep), and the door that won never heard of the order that lost. Without the key the door answers as before. Evidence on hosts is not shared yet.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -23,12 +24,15 @@
 	Ready() bool
 	Figures() Figures
 	// Exclude takes a cache host out, Include puts it back. Each returns once it holds.
-	Exclude(member string) error
-	Include(member string) error
+	// Told is what it adds to the answer.
+	Exclude(member string, how How) (told string, err error)
+	Include(member string, how How) (told string, err error)
 	// Members is what this balancer sees of its fleet; an error says why it sees nothing.
 	Members() (Members, error)
 	// Limits are its parts of what holds for the whole fleet; an error says why there are none.
 	Limits() (Limits, error)
+	// Orders are those by hand for the whole fleet; an error says why there are none.
+	Orders() (Orders, error)
 }
 
 // What a call on a member may meet.
@@ -93,6 +97,7 @@
 		}},
 		"/api/members": {http.MethodGet, shows(to.Members)},
 		"/api/limits":  {http.MethodGet, shows(to.Limits)},
+		"/api/orders":  {http.MethodGet, shows(to.Orders)},
 		"/api/exclude": {http.MethodPost, onMember(to.Exclude, "is out")},
 		"/api/include": {http.MethodPost, onMember(to.Include, "is in")},
 	}
@@ -133,7 +138,7 @@
 	io.WriteString(w, line+"\n")
 }
 
-func onMember(do func(string) error, done string) http.HandlerFunc {
+func onMember(do func(string, How) (string, error), done string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
 		if err != nil {
@@ -145,60 +150,77 @@
 			return
 		}
 		called(r)
-		member, err := memberIn(body)
+		member, how, err := memberIn(body)
 		if err != nil {
 			say(w, http.StatusBadRequest, "body: "+err.Error())
 			return
 		}
-		switch err = do(member); {
+		switch told, err := do(member, how); {
+		case errors.Is(err, ErrNoOrders):
+			say(w, http.StatusBadRequest, "body: wait_ms and force: "+err.Error())
 		case errors.Is(err, ErrNobody):
 			say(w, http.StatusNotFound, err.Error())
 		case err != nil:
 			say(w, http.StatusServiceUnavailable, err.Error())
 		default:
-			say(w, http.StatusOK, fmt.Sprintf("%q %s", member, done))
+			say(w, http.StatusOK, fmt.Sprintf("%q %s%s", member, done, told))
 		}
 	}
 }
 
-// memberIn reads {"member":"ID"} and nothing else. It goes by tokens: decoding into a type would take the last of two
-// members, and a key in other letters, for what was meant.
-func memberIn(body []byte) (member string, err error) {
+// memberIn reads {"member":"ID"}, with "force" and "wait_ms" where they are wanted, and nothing else. It goes by tokens: decoding into
+// a type would take the last of two members, and a key in other letters, for what was meant.
+func memberIn(body []byte) (member string, how How, err error) {
 	dec := json.NewDecoder(bytes.NewReader(body))
+	no := func(form string, args ...any) (string, How, error) { return "", How{}, fmt.Errorf(form, args...) }
 	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
-		return "", errors.New(`expected {"member":"ID"}`)
+		return no(`expected {"member":"ID"}`)
 	}
+	seen := map[json.Token]bool{}
 	for dec.More() {
 		key, err := dec.Token()
 		if err != nil {
-			return "", errors.New("not JSON")
+			return no("not JSON")
 		}
-		if key != "member" {
-			return "", fmt.Errorf("key %q is not known", key)
+		if key != "member" && key != "force" && key != "wait_ms" {
+			return no("key %q is not known", key)
 		}
 		v, err := dec.Token()
 		if err != nil {
-			return "", errors.New("not JSON")
+			return no("not JSON")
 		}
-		id, ok := v.(string)
-		switch {
-		case !ok || id == "":
-			return "", errors.New("member: expected an id")
-		case member != "":
-			return "", errors.New("member stands twice")
+		if seen[key] {
+			return no("%s stands twice", key)
+		}
+		seen[key] = true
+		ok := false
+		switch key {
+		case "member":
+			member, ok = v.(string)
+			if !ok || member == "" {
+				return no("member: expected an id")
+			}
+		case "force":
+			if how.Force, ok = v.(bool); !ok {
+				return no("force: expected true or false")
+			}
+		case "wait_ms":
+			ms, ok := v.(float64)
+			if how.Wait = time.Duration(ms) * time.Millisecond; !ok || ms != math.Trunc(ms) || how.Wait < 0 || how.Wait > mostWait {
+				return no("wait_ms: expected 0 to %d", mostWait.Milliseconds())
+			}
 		}
-		member = id
 	}
 	if _, err := dec.Token(); err != nil {
-		return "", errors.New("not JSON")
+		return no("not JSON")
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		return "", errors.New("something follows the object")
+		return no("something follows the object")
 	}
 	if member == "" {
-		return "", errors.New("member is missing")
+		return no("member is missing")
 	}
-	return member, nil
+	return member, how, nil
 }
 
 // bounded takes every connection at once and holds so many: where one is too many, the oldest that has sent no whole
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,7 @@
 	upgrade    upgrade
 	fleet      fleet
 	limits     *limits // nil: parts of what holds for the fleet are equal ones
+	orders     *orders // nil: orders by hand hold here alone
 }
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
@@ -88,6 +89,7 @@
 	b.running, b.end = context.WithCancel(context.Background())
 	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
 	b.limits = b.newLimits(own.Connections.Openings)
+	b.orders = b.newOrders()
 	b.decide(func() { b.module = policy.New(host{b}, told.Terms, told.Seed) })
 	return b
 }
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -55,5 +55,17 @@
 	return to
 }
 
-func (d door) Exclude(member string) error { return d.b.ban(policy.CacheID(member), true) }
-func (d door) Include(member string) error { return d.b.ban(policy.CacheID(member), false) }
+func (d door) Exclude(member string, how admin.How) (string, error) { return d.hand(member, true, how) }
+func (d door) Include(member string, how admin.How) (string, error) {
+	return d.hand(member, false, how)
+}
+
+func (d door) hand(member string, out bool, how admin.How) (string, error) {
+	if d.b.orders != nil {
+		return d.b.order(member, out, how)
+	}
+	if how != (admin.How{}) {
+		return "", admin.ErrNoOrders
+	}
+	return "", d.b.ban(policy.CacheID(member), out, false)
+}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -44,6 +44,7 @@
 	f.carrier = carrier
 	f.mu.Unlock()
 	b.shareLimits(carrier)
+	b.followOrders(carrier)
 	return nil
 }
 
@@ -78,6 +79,7 @@
 func (b *Balancer) givePlace() {
 	f := &b.fleet
 	b.stopSharing()
+	b.endOrders()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.carrier != nil {
@@ -106,6 +108,7 @@
 func (b *Balancer) leavePlace() {
 	f := &b.fleet
 	b.stopSharing()
+	b.endOrders()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.carrier != nil {
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -65,7 +65,9 @@
 	return l, nil, err
 }
 
-func (b *Balancer) banFile() string { return handover.Path(os.TempDir(), b.told.Listen, ".out") }
+func (b *Balancer) banDir() string { return os.TempDir() }
+
+func (b *Balancer) banFile() string { return handover.Path(b.banDir(), b.told.Listen, ".out") }
 
 // takeOver restores what an older process handed on, or what one that was killed left.
 func (b *Balancer) takeOver(s *handover.State) {
@@ -85,7 +87,8 @@
 		go b.hearElder(b.upgrade.elder)
 	} else {
 		var err error
-		if excluded, err = handover.Load(b.banFile()); err != nil {
+		if err = handover.Load(b.banFile(), &excluded); err != nil {
+			excluded = nil
 			b.log.Warn().Err(err).Str("file", b.banFile()).Msg("the hosts out by hand are not readable, none is out")
 		}
 	}
@@ -170,7 +173,7 @@
 		case handover.Ask:
 			go func() { // not here: it may wait for what comes here
 				answer := handover.Message{Kind: handover.Answer, N: m.N}
-				if err := b.ban(policy.CacheID(m.Member), m.Out); err != nil {
+				if err := b.ban(policy.CacheID(m.Member), m.Out, b.orders != nil); err != nil {
 					answer.Fault = err.Error()
 				}
 				p.Say(answer)
@@ -252,8 +255,9 @@
 	}
 }
 
-// ban takes a host out by hand, or puts it back, in both processes of an upgrade.
-func (b *Balancer) ban(id policy.CacheID, out bool) error {
+// ban takes a host out by hand, or puts it back, in both processes of an upgrade. An order for the whole fleet holds also where no list
+// has named the host yet.
+func (b *Balancer) ban(id policy.CacheID, out, fleet bool) error {
 	u := &b.upgrade
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -274,9 +278,9 @@
 		b.decide(func() { known = b.module.Knows(id) })
 	}
 	switch {
-	case !known:
+	case !known && !fleet:
 		return admin.ErrNobody
-	case !held:
+	case !held && !fleet:
 		return admin.ErrTooMany
 	}
 	b.apply(id, out)
--- a/internal/fleet/carry/codec_test.go
+++ b/internal/fleet/carry/codec_test.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"streamrail/internal/fleet/member"
+	"streamrail/internal/fleet/order"
 )
 
 var now = time.UnixMilli(1_800_000_000_000)
@@ -172,3 +174,17 @@
 		c.decode(body, 1, now)
 	})
 }
+
+// An order with all that it may carry comes through as it was: one with a past was dropped, as it lay a list too deep.
+func TestOrdersComeThrough(t *testing.T) {
+	o := order.Order{Host: "h", ID: order.ID{Count: 7, By: 9}, Out: true, Force: true, Door: "n0", Past: []order.ID{{Count: 6, By: 1 << 60}, {Count: 5, By: 2}}}
+	m := &order.Message{Sum: 1 << 63, Answer: true, Orders: []order.Order{o, o}}
+	if got, ok := DecodeOrders(EncodeOrders(m)); !ok || !reflect.DeepEqual(got, m) {
+		t.Errorf("%+v %v, expected %+v", got, ok, m)
+	}
+	for _, bad := range []order.Order{{ID: o.ID}, {Host: "h", ID: order.ID{By: 1}}, {Host: strings.Repeat("h", 300), ID: o.ID}} {
+		if _, ok := DecodeOrders(EncodeOrders(&order.Message{Orders: []order.Order{bad}})); ok {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+}
--- a/internal/handover/bans.go
+++ b/internal/handover/bans.go
@@ -9,11 +9,14 @@
 	"syscall"
 )
 
-// The file of bans: a line with the checksum of the rest, then the rest.
+// A file of what was ordered by hand: a line with the checksum of the rest, then the rest.
 
-// Save writes the bans to a file, as a whole or not at all.
-func Save(path string, excluded []string) error {
-	text, _ := json.Marshal(excluded)
+// Save writes it, as a whole or not at all.
+func Save(path string, what any) error {
+	text, err := json.Marshal(what)
+	if err != nil {
+		return err
+	}
 	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
 	os.Remove(fresh)
 	f, err := os.OpenFile(fresh, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600) // never through a link that another user has laid
@@ -29,22 +32,30 @@
 }
 
 // Load reads it. That there is none is no error; one of another user is.
-func Load(path string) (excluded []string, err error) {
+func Load(path string, to any) error {
 	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+		return nil
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if of, err := os.Lstat(path); err != nil {
-		return nil, err
+		return err
 	} else if st, ok := of.Sys().(*syscall.Stat_t); !ok || !of.Mode().IsRegular() || int(st.Uid) != os.Getuid() {
-		return nil, errors.New("it is no file of this user")
+		return errors.New("it is no file of this user")
 	}
 	const head = 9
 	if len(text) < head || string(text[:head]) != fmt.Sprintf("%08x\n", crc32.ChecksumIEEE(text[head:])) {
-		return nil, errors.New("damaged: its checksum is another")
+		return errors.New("damaged: its checksum is another")
+	}
+	return json.Unmarshal(text[head:], to)
+}
+
+// Aside keeps a file that cannot be read under another name, for who wants to look at it; the name, or "" where that failed.
+func Aside(path string) string {
+	if err := os.Rename(path, path+".damaged"); err != nil {
+		return ""
 	}
-	return excluded, json.Unmarshal(text[head:], &excluded)
+	return path + ".damaged"
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -24,6 +24,9 @@
 	KeyFile string            `toml:"key_file"` // its content keys the checksum of each datagram
 	Limits  bool              `toml:"limits"`   // parts of the tenants' allowances move to where their calls are
 	Lease   strict.Span       `toml:"lease"`    // for which a part is lent
+	Orders  bool              `toml:"orders"`   // hosts out by hand are out at all balancers
+
+	OrdersPart float64 `toml:"orders_part"` // of the cache hosts that may be out by hand without force
 
 	addr  netip.AddrPort
 	peers []netip.AddrPort
@@ -37,6 +40,7 @@
 	fleetSuspect = strict.Span(2 * time.Second)
 	fleetBudget  = 3000
 	fleetLease   = strict.Span(3 * time.Second) // a process that starts has its floor for as long
+	fleetOut     = 0.5                          // of the hosts: a zone of two goes out without force, more is more often a slip
 )
 
 const (
@@ -48,7 +52,7 @@
 func (f *Fleet) check(s *strict.File) {
 	const at = "fleet."
 	f.Period, f.Suspect, f.Budget = cmp.Or(f.Period, fleetPeriod), cmp.Or(f.Suspect, fleetSuspect), cmp.Or(f.Budget, fleetBudget)
-	f.Lease = cmp.Or(f.Lease, fleetLease)
+	f.Lease, f.OrdersPart = cmp.Or(f.Lease, fleetLease), cmp.Or(f.OrdersPart, fleetOut)
 	if f.Name == "" || len(f.Name) > member.MostName {
 		s.Bad(at+"name", "expected the fleet's name, of 1 to %d bytes, got %q", member.MostName, f.Name)
 	}
@@ -70,6 +74,7 @@
 	strict.Within(s, at+"period", f.Period, strict.Span(50*time.Millisecond), strict.Span(time.Minute))
 	strict.Within(s, at+"suspect", f.Suspect, 2*f.Period, strict.Span(10*time.Minute))
 	strict.Within(s, at+"budget", f.Budget, 500, 1<<20)
+	strict.Within(s, at+"orders_part", f.OrdersPart, 0.01, 1)
 	strict.Within(s, at+"lease", f.Lease, strict.Span(time.Second), strict.Span(time.Minute))
 	if f.KeyFile == "" {
 		if s.Given(at + "key_file") {
