Count as confirmed only who is known to hold an order; wait for a count in the door's test

TestOrders beside busy cores, GOMAXPROCS=2: "confirmed by all 4 others" with one of the four stopped and one killed (5 of 8 runs). Those whose sum differs were taken for missing; a suspected one is no peer of the orders, so it counted as having confirmed (balancer/orders.go). Now those count whose sum is known to be equal, and dead ones are named as missing: they may be cut off, and in use. TestOrders, -Cut, -Off 20 times in a row with GOMAXPROCS=2 beside full cores: pass; TestLimits* 20 times: pass.

TestDoor read a counter at once that moves after the answer is written: failed once on a full machine, waits now.

--- a/cmd/streamrail/door_test.go
+++ b/cmd/streamrail/door_test.go
@@ -78,7 +78,11 @@
 	expect(t, c.ask("ms k 2 Ob Pc=pay,d=900\r\nhi\r\n"), "HD Ob cdone-b")
 	for name, want := range map[string]int{`app_answered_total{group="read"}`: 1, `app_answered_total{group="pay"}`: 1,
 		`app_deferred_total{group="marked"}`: 0, "app_sends_total": 2, "app_current": 0, "app_cluster_size": 1, "app_cluster_unhealthy": 0} {
-		if got := figure(t, door, name); got != want {
+		got := figure(t, door, name)
+		for began := time.Now(); got != want && time.Since(began) < patience; got = figure(t, door, name) {
+			time.Sleep(5 * time.Millisecond) // an answer is counted once it is written: a client may have it sooner
+		}
+		if got != want {
 			t.Errorf("%s: %d, expected %d", name, got, want)
 		}
 	}
--- a/cmd/streamrail/orders_test.go
+++ b/cmd/streamrail/orders_test.go
@@ -62,8 +62,8 @@
 			t.Errorf("%s: in force after %v", m.name, d)
 		}
 	}
-	if text := f.all[0].hand(t, "exclude", "h", `,"wait_ms":300`); !strings.Contains(text, "missing") || !strings.Contains(text, "n3") {
-		t.Errorf("%q, expected n3 to be missing", text)
+	if text := f.all[0].hand(t, "exclude", "h", `,"wait_ms":1500`); !strings.Contains(text, "confirmed by 2 of 4 others; missing: n3, n4") {
+		t.Error(text)
 	}
 	f.all[3].Process.Signal(syscall.SIGCONT)
 	f.all[4].start(t)
--- a/internal/admin/orders.go
+++ b/internal/admin/orders.go
@@ -21,7 +21,7 @@
 type Orders struct {
 	Sum       string     `json:"sum"`              // of all held: equal ones are equal orders
 	Kept      bool       `json:"kept"`             // this balancer's file has them
-	Missing   []string   `json:"not_confirmed_by"` // members of whom it is not known that they hold the same
+	Missing   []string   `json:"not_confirmed_by"` // other balancers of whom it is not known that they hold the same, the dead among them
 	Orders    []Order    `json:"orders"`           // the last on each host
 	Conflicts []Conflict `json:"conflicts"`        // the last ones seen here
 }
--- a/internal/balancer/orders.go
+++ b/internal/balancer/orders.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -171,41 +172,43 @@
 	case err != nil:
 		return "", fmt.Errorf("in force here, not kept and not told to others: %w", err)
 	}
-	for until := time.Now().Add(how.Wait); time.Now().Before(until) && len(b.missing()) > 0; {
-		time.Sleep(5 * time.Millisecond)
-	}
-	var others, missing int
-	var names []string
-	if c, err := b.speaker(); err == nil {
-		lives, _ := c.Members()
-		others = len(lives)
+	for until := time.Now().Add(how.Wait); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if _, missing := b.confirmed(); len(missing) == 0 {
+			break
+		}
 	}
-	if names = b.missing(); len(names) > 0 {
-		missing = len(names)
-		return fmt.Sprintf(", confirmed by %d of %d others; missing: %s", others-missing, others, strings.Join(names[:min(missing, 16)], ", ")), nil
+	have, missing := b.confirmed()
+	if n := len(missing); n > 0 {
+		return fmt.Sprintf(", confirmed by %d of %d others; missing: %s", have, have+n, strings.Join(missing[:min(n, 16)], ", ")), nil
 	}
-	return fmt.Sprintf(", confirmed by all %d others that are seen", others), nil
+	return fmt.Sprintf(", confirmed by all %d others", have), nil
 }
 
-// missing are the names of the members of whom it is not known that they hold what is held here.
-func (b *Balancer) missing() (names []string) {
+// confirmed is how many others are known to hold what is held here, and the names of those that are not, the dead among them: they
+// may be cut off, and in use.
+func (b *Balancer) confirmed() (have int, missing []string) {
 	o := b.orders
 	o.mu.Lock()
 	if o.machine == nil {
 		o.mu.Unlock()
-		return nil
+		return 0, nil
 	}
-	lives, c := o.machine.Missing(), o.carrier
+	lives, c := o.machine.Confirmed(), o.carrier
 	o.mu.Unlock()
-	if len(lives) == 0 {
-		return nil
-	}
+	present := map[string]bool{} // by name: it has confirmed
 	for _, m := range c.View().Members {
-		if slices.Contains(lives, m.Life) {
-			names = append(names, m.Name)
+		if m.State != member.Left {
+			present[m.Name] = present[m.Name] || slices.Contains(lives, m.Life)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(present)) {
+		if present[name] {
+			have++
+		} else {
+			missing = append(missing, name)
 		}
 	}
-	return names
+	return have, missing
 }
 
 // Orders are what the door shows of them.
@@ -217,7 +220,8 @@
 	if o == nil {
 		return to, admin.ErrNoOrders
 	}
-	missing, listed := d.b.missing(), 0
+	_, missing := d.b.confirmed()
+	listed := 0
 	d.b.decide(func() { listed, _ = d.b.module.Fleet() })
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -243,7 +243,7 @@
 	}
 	m.take(o)
 	for i := range m.peers {
-		m.peers[i].sent = 0
+		m.peers[i].sent = -again
 	}
 	return o, nil
 }
@@ -380,10 +380,10 @@
 // Conflicts are the last ones that were seen.
 func (m *Machine) Conflicts() []Conflict { return slices.Clone(m.conflicts) }
 
-// Missing are the members of whom it is not known that they hold all that is held here.
-func (m *Machine) Missing() (some []member.Life) {
+// Confirmed are the members of whom it is known that they hold all that is held here, and nothing else.
+func (m *Machine) Confirmed() (some []member.Life) {
 	for _, p := range m.peers {
-		if !p.heard || p.sum != m.sum {
+		if p.heard && p.sum == m.sum {
 			some = append(some, p.life)
 		}
 	}
