--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -653,7 +653,9 @@
 
 // verdict declares a death by own looks.
 func (m *Machine) verdict(p *peer) {
-	m.event(Event{What: "verdict", Name: p.Name, Life: p.Life, Cause: "no answer to own looks"})
+	if !m.lately(p) { // until then it is a reason to look, as any death that is told: a line a turn said nothing new
+		m.event(Event{What: "verdict", Name: p.Name, Life: p.Life, Cause: "no answer to own looks"})
+	}
 	m.rumour(Rumour{Life: p.Life, Inc: p.Inc, State: Dead, By: m.self.Life}, false)
 }
 
--- a/internal/rehearsal/gather/gather_test.go
+++ b/internal/rehearsal/gather/gather_test.go
@@ -75,3 +75,27 @@
 		}
 	}
 }
+
+// A death is told of once by each who looked itself: the log of a member that had died said so each turn for a second.
+func TestOneVerdict(t *testing.T) {
+	p := New(usual(6, 1, 0))
+	p.Whole(time.Minute)
+	told := make([]int, 6)
+	p.On = func(mate int, e member.Event) {
+		if e.What == "verdict" {
+			told[mate]++
+		}
+	}
+	p.Kill(2)
+	p.Run(p.Now + 20*time.Second)
+	sum := 0
+	for i, n := range told {
+		sum += n
+		if n > 1 {
+			t.Errorf("%s told %d times of one death", record.MateName(i), n)
+		}
+	}
+	if sum == 0 {
+		t.Error("nobody told of it")
+	}
+}
