Say in one line why an order is refused, and that nothing has changed

Reread: a refusal for too many hosts came in two lines (two errors joined), and one for a full list said "in force here, not kept", though nothing had been taken (balancer/orders.go, order).

--- a/internal/balancer/orders.go
+++ b/internal/balancer/orders.go
@@ -167,8 +167,8 @@
 	}
 	o.mu.Unlock()
 	switch {
-	case errors.Is(err, byhand.ErrTooMany):
-		return "", errors.Join(admin.ErrTooMany, err)
+	case errors.Is(err, byhand.ErrTooMany), errors.Is(err, byhand.ErrFull):
+		return "", err // nothing has changed
 	case err != nil:
 		return "", fmt.Errorf("in force here, not kept and not told to others: %w", err)
 	}
