--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"runtime"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -123,28 +122,6 @@
 	return program, d, err
 }
 
-// sideBySide does n things on so many lanes and joins their errors.
-func sideBySide(n, lanes int, do func(i int) error) error {
-	errs := make([]error, n)
-	next := make(chan int, n)
-	for i := range n {
-		next <- i
-	}
-	close(next)
-	var group sync.WaitGroup
-	for range min(n, lanes) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			for i := range next {
-				errs[i] = do(i)
-			}
-		}()
-	}
-	group.Wait()
-	return errors.Join(errs...)
-}
-
 // folder is where a rehearsal's files go, and what removes them where nobody asked for them.
 func (p *play) folder(name string) (dir string, done func(), err error) {
 	if p.Out != "" {
@@ -407,7 +384,7 @@
 	}
 	end := time.Now().Add(c.Budget)
 	played := make([]*report.Report, len(days))
-	err = sideBySide(len(days), lanes, func(i int) (err error) {
+	err = measure.SideBySide(len(days), lanes, func(i int) (err error) {
 		if !time.Now().Add(days[i].Length.D()).After(end) {
 			played[i], err = c.one(ctx, days[i], program, nil)
 		}
--- a/cmd/rehearse/simulate.go
+++ b/cmd/rehearse/simulate.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"streamrail/internal/rehearsal/measure"
 	"streamrail/internal/rehearsal/report"
 	"streamrail/internal/rehearsal/scenario"
 	"streamrail/internal/rehearsal/virtual"
@@ -64,7 +65,7 @@
 		trace = w
 	}
 	reports := make([]*report.Report, len(list))
-	err = sideBySide(len(list), runtime.GOMAXPROCS(0), func(i int) (err error) {
+	err = measure.SideBySide(len(list), runtime.GOMAXPROCS(0), func(i int) (err error) {
 		reports[i], err = c.one(list[i], trace)
 		return err
 	})
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -70,9 +70,7 @@
 			kept = nil
 		}
 	}
-	if err := b.takePlace(kept); err != nil {
-		b.log.Warn().Err(err).Msg("no place in the fleet")
-	}
+	b.resume(kept)
 }
 
 // givePlace ends this process's part in the fleet without a word: another one speaks for this balancer.
@@ -89,6 +87,13 @@
 	}
 }
 
+// resume speaks for this balancer from where another process of an upgrade left off; without a place it serves all the same.
+func (b *Balancer) resume(kept *member.Kept) {
+	if err := b.takePlace(kept); err != nil {
+		b.log.Warn().Err(err).Msg("no place in the fleet")
+	}
+}
+
 // takePlaceBack speaks again where the newer process was killed after it had the place.
 func (b *Balancer) takePlaceBack() {
 	f := &b.fleet
@@ -99,9 +104,7 @@
 	if kept == nil || b.in() > Leaving {
 		return
 	}
-	if err := b.takePlace(kept); err != nil {
-		b.log.Warn().Err(err).Msg("no place in the fleet")
-	}
+	b.resume(kept)
 }
 
 // leavePlace tells the others that this balancer ends in order.
--- a/internal/balancer/limits.go
+++ b/internal/balancer/limits.go
@@ -31,25 +31,22 @@
 	epoch   time.Time
 	machine *share.Machine
 	carrier *carry.Carrier
-	recent  [][needSlots]int64 // by customer, what came in the last turns
+	recent  [][share.NeedTurns]int64 // by customer, what came in the last turns
 	slot    int
 	stop    chan struct{}
 }
 
-// needSlots turns make the second over which a need is measured: in one turn a few calls more or less say nothing.
-const needSlots = 5
-
 // newLimits makes the parts of a balancer; nil where the file does not let them move, or there is nothing to share.
 func (b *Balancer) newLimits(openings float64) *limits {
 	if b.fleet.own == nil || !b.fleet.own.Limits || len(b.told.Customers) == 0 && openings == 0 {
 		return nil
 	}
 	n := len(b.told.Customers)
-	l := &limits{came: make([]atomic.Int64, n), recent: make([][needSlots]int64, n), names: make([]string, n), bounds: make([]float64, n),
+	l := &limits{came: make([]atomic.Int64, n), recent: make([][share.NeedTurns]int64, n), names: make([]string, n), bounds: make([]float64, n),
 		grains: make([]float64, n), floors: make([]float64, n), tenants: n, epoch: time.Now()}
 	for _, name := range slices.Sorted(maps.Keys(b.told.Customers)) {
 		c := b.told.Customers[name]
-		l.names[c], l.bounds[c], l.grains[c] = "allowance of "+name, b.told.Terms.Customers[c].AllowancePerS, 1/(needSlots*share.Turn.Seconds())
+		l.names[c], l.bounds[c], l.grains[c] = "allowance of "+name, b.told.Terms.Customers[c].AllowancePerS, 1/(share.NeedTurns*share.Turn.Seconds())
 	}
 	if openings > 0 { // needs and parts are of the whole, whichever host it is
 		l.names, l.bounds, l.grains = append(l.names, "openings"), append(l.bounds, 1), append(l.grains, 1/openings)
@@ -129,14 +126,14 @@
 		}
 		members, _ := c.Members()
 		b.withParts(func(p *share.Machine, now share.Moment) {
-			l.slot = (l.slot + 1) % needSlots
+			l.slot = (l.slot + 1) % share.NeedTurns
 			for i := range l.came {
 				l.recent[i][l.slot] = l.came[i].Swap(0)
 				sum := int64(0)
 				for _, n := range l.recent[i] {
 					sum += n
 				}
-				p.Need(now, i, float64(sum)/(needSlots*share.Turn.Seconds()))
+				p.Need(now, i, float64(sum)/(share.NeedTurns*share.Turn.Seconds()))
 			}
 			if l.tenants < len(l.bounds) {
 				p.Need(now, l.tenants, b.hosts.OpeningNeed(share.Turn))
--- a/internal/balancer/orders.go
+++ b/internal/balancer/orders.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -38,7 +39,7 @@
 	if b.fleet.own == nil || !b.fleet.own.Orders || b.told.Admin == "" {
 		return nil
 	}
-	return &orders{part: b.fleet.own.OrdersPart, file: handover.Path(b.banDir(), b.told.Listen, ".orders"), epoch: time.Now()}
+	return &orders{part: b.fleet.own.OrdersPart, file: handover.Path(os.TempDir(), b.told.Listen, ".orders"), epoch: time.Now()}
 }
 
 // followOrders begins to take and give orders over a carrier.
@@ -59,7 +60,7 @@
 	o.mu.Unlock()
 	c.On(carry.TopicOrders, func(from member.Life, body []byte) {
 		if m, ok := carry.DecodeOrders(body); ok {
-			b.withOrders(func(p *byhand.Machine, now byhand.Moment) { p.Hear(now, from, m) })
+			b.withOrders(false, func(p *byhand.Machine, now byhand.Moment) { p.Hear(now, from, m) })
 		}
 	})
 	go func() {
@@ -67,7 +68,7 @@
 		defer t.Stop()
 		for {
 			members, _ := c.Members()
-			b.withOrders(func(p *byhand.Machine, now byhand.Moment) { p.Tick(now, members, time.Since(o.given) < doorFor) })
+			b.withOrders(true, func(p *byhand.Machine, now byhand.Moment) { p.Tick(now, members, time.Since(o.given) < doorFor) })
 			select {
 			case <-t.C:
 			case <-stop:
@@ -92,23 +93,24 @@
 	}
 }
 
-// withOrders gives the orders an input. What has come to hold is kept first, then in force here, and then told.
-func (b *Balancer) withOrders(input func(p *byhand.Machine, now byhand.Moment)) {
+// withOrders gives the orders an input. What has come to hold is kept first, then in force here, and then told. In a turn what is in
+// force is looked at in any case: the list of hosts may have changed.
+func (b *Balancer) withOrders(turn bool, input func(p *byhand.Machine, now byhand.Moment)) {
 	o := b.orders
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.machine != nil {
 		input(o.machine, time.Since(o.epoch))
-		b.settleOrders()
+		b.settleOrders(turn)
 	}
 }
 
 // settleOrders does what an input brought. Under orders.mu.
-func (b *Balancer) settleOrders() (kept error) {
+func (b *Balancer) settleOrders(turn bool) (kept error) {
 	o := b.orders
-	all, sends := o.machine.All(), o.machine.Out()
-	if news := o.machine.News(); len(news) > 0 || o.unkept {
-		if kept = handover.Save(o.file, all); kept != nil && !o.unkept {
+	sends, news := o.machine.Out(), o.machine.News()
+	if len(news) > 0 || o.unkept {
+		if kept = handover.Save(o.file, o.machine.All()); kept != nil && !o.unkept {
 			b.log.Warn().Err(kept).Str("file", o.file).Msg("the fleet's orders by hand cannot be kept, telling nobody that they hold here")
 		}
 		o.unkept = kept != nil
@@ -116,8 +118,8 @@
 			b.log.Info().Str("host", n.Host).Bool("out", n.Out).Str("door", n.Door).Uint64("count", n.Count).Msg("order by hand for the fleet")
 		}
 	}
-	if len(all) > 0 {
-		b.force(all)
+	if turn || len(news) > 0 {
+		b.force(o.machine.All())
 	}
 	if o.unkept {
 		return kept
@@ -130,13 +132,16 @@
 
 // force puts the orders in force here. Hosts without one stay as this balancer alone has them.
 func (b *Balancer) force(all []byhand.Order) {
-	var now []string
+	if len(all) == 0 {
+		return
+	}
+	var now []string // by name, as what is wanted
 	listed := 0
 	b.decide(func() { now = b.excluded(); listed, _ = b.module.Fleet() })
 	want := b.orders.machine.Excluded(listed)
 	for _, one := range all {
-		out := slices.Contains(want, one.Host)
-		if out != slices.Contains(now, one.Host) {
+		_, out := slices.BinarySearch(want, one.Host)
+		if _, is := slices.BinarySearch(now, one.Host); out != is {
 			if err := b.ban(policy.CacheID(one.Host), out, true); err != nil {
 				b.log.Warn().Err(err).Str("host", one.Host).Msg("an order by hand is not in force in both processes of the upgrade")
 			}
@@ -163,7 +168,7 @@
 		o.given = time.Now()
 		members, _ := o.carrier.Members()
 		o.machine.Tick(time.Since(o.epoch), members, true)
-		err = b.settleOrders()
+		err = b.settleOrders(false)
 	}
 	o.mu.Unlock()
 	switch {
@@ -172,12 +177,10 @@
 	case err != nil:
 		return "", fmt.Errorf("in force here, not kept and not told to others: %w", err)
 	}
-	for until := time.Now().Add(how.Wait); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		if _, missing := b.confirmed(); len(missing) == 0 {
-			break
-		}
-	}
 	have, missing := b.confirmed()
+	for until := time.Now().Add(how.Wait); len(missing) > 0 && time.Now().Before(until); have, missing = b.confirmed() {
+		time.Sleep(5 * time.Millisecond)
+	}
 	if n := len(missing); n > 0 {
 		return fmt.Sprintf(", confirmed by %d of %d others; missing: %s", have, have+n, strings.Join(missing[:min(n, 16)], ", ")), nil
 	}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -65,9 +65,7 @@
 	return l, nil, err
 }
 
-func (b *Balancer) banDir() string { return os.TempDir() }
-
-func (b *Balancer) banFile() string { return handover.Path(b.banDir(), b.told.Listen, ".out") }
+func (b *Balancer) banFile() string { return handover.Path(os.TempDir(), b.told.Listen, ".out") }
 
 // takeOver restores what an older process handed on, or what one that was killed left.
 func (b *Balancer) takeOver(s *handover.State) {
--- a/internal/fleet/member/explore_test.go
+++ b/internal/fleet/member/explore_test.go
@@ -10,6 +10,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"streamrail/internal/fleet/explore"
 )
 
 // depth is how many steps the explorer goes: 5 takes a second, 8 some minutes.
@@ -287,29 +289,9 @@
 	return h.Sum64()
 }
 
-// explore goes through every order of steps from a world and tells how many states it met, and the first that is wrong.
-func explore(w *world, depth int) (states int, wrong string) {
-	seen := map[uint64]struct{}{}
-	level := []*world{w}
-	for range depth {
-		var next []*world
-		for _, from := range level {
-			for _, step := range from.steps() {
-				to := from.clone()
-				step(to)
-				if to.wrong != "" {
-					return len(seen), to.wrong
-				}
-				k := to.key()
-				if _, known := seen[k]; !known {
-					seen[k] = struct{}{}
-					next = append(next, to)
-				}
-			}
-		}
-		level = next
-	}
-	return len(seen), ""
+// orders goes through every order of steps from a world and tells how many states it met, and the first that is wrong.
+func orders(w *world, depth int) (states int, wrong string) {
+	return explore.Orders(w, depth, (*world).clone, (*world).steps, (*world).key, func(w *world) string { return w.wrong })
 }
 
 // settled is a world in which all know all, with one of them silent for so many periods already: the interesting part begins there.
@@ -351,7 +333,7 @@
 		if w.wrong != "" {
 			t.Fatal(w.wrong)
 		}
-		n, wrong := explore(w, *depth-silent/6)
+		n, wrong := orders(w, *depth-silent/6)
 		t.Logf("%d periods silent: %d states", silent, n)
 		if wrong != "" {
 			t.Errorf("%d periods silent: %s", silent, wrong)
@@ -384,7 +366,7 @@
 	} {
 		wrong := ""
 		for _, silent := range []int{0, 2, 6} {
-			if _, wrong = explore(settled(fault, silent), 6); wrong != "" {
+			if _, wrong = orders(settled(fault, silent), 6); wrong != "" {
 				break
 			}
 		}
--- a/internal/fleet/order/explore_test.go
+++ b/internal/fleet/order/explore_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"streamrail/internal/fleet/explore"
 	"streamrail/internal/fleet/member"
 )
 
@@ -20,6 +21,7 @@
 	lives member.Life
 	way   []letter
 	kept  []Order
+	bad   string
 }
 
 // copied is a world of its own.
@@ -86,14 +88,17 @@
 	return text + fmt.Sprint(way)
 }
 
-// next are all that may happen: one of two orders at their doors, a turn, a delivery, a loss, a repeat, a kill with its file.
-func (w *world) next() (all []*world) {
+// steps are all that may happen: one of two orders at their doors, a turn, a delivery, a loss, a repeat, a kill with its file.
+func (w *world) steps() (all []func(*world)) {
 	do := func(f func(*world)) {
-		c := w.copied()
-		f(c)
-		all = append(all, c)
+		all = append(all, func(c *world) {
+			f(c)
+			if err := check(w, c); err != nil {
+				c.bad = err.Error()
+			}
+		})
 	}
-	if n := len(w.kept); n < 2 {
+	if len(w.kept) < 2 {
 		for i := range 2 {
 			do(func(c *world) {
 				o, _ := c.at[i].Give("h", i == 0, true, 4)
@@ -156,22 +161,9 @@
 	for i := range first.at {
 		first.start(i, nil)
 	}
-	seen := map[string]bool{first.key(): true}
-	rim := []*world{first}
-	for range *deep {
-		var next []*world
-		for _, w := range rim {
-			for _, c := range w.next() {
-				if err := check(w, c); err != nil {
-					t.Fatal(err)
-				}
-				if key := c.key(); !seen[key] {
-					seen[key] = true
-					next = append(next, c)
-				}
-			}
-		}
-		rim = next
+	states, bad := explore.Orders(first, *deep, (*world).copied, (*world).steps, (*world).key, func(w *world) string { return w.bad })
+	t.Logf("%d states to depth %d", states, *deep)
+	if bad != "" {
+		t.Error(bad)
 	}
-	t.Logf("%d states to depth %d", len(seen), *deep)
 }
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -174,18 +174,18 @@
 	return slices.BinarySearchFunc(m.orders, host, func(o Order, h string) int { return cmp.Compare(o.Host, h) })
 }
 
-// take holds an order if it beats what is held; it tells whether it does.
-func (m *Machine) take(o Order) bool {
+// take holds an order if it beats what is held.
+func (m *Machine) take(o Order) {
 	i, held := m.find(o.Host)
 	switch {
 	case !held && len(m.orders) >= mostKept:
-		return false
+		return
 	case !held:
 		m.orders = slices.Insert(m.orders, i, o)
 	default:
 		was := m.orders[i]
 		if was.ID == o.ID {
-			return false
+			return
 		}
 		won, lost := &o, &was
 		if !o.beats(&was) {
@@ -195,7 +195,7 @@
 			m.clash(*won, *lost)
 		}
 		if won != &o {
-			return false
+			return
 		}
 		m.orders[i] = o
 		m.sum ^= was.sum()
@@ -206,7 +206,6 @@
 	for i := range m.peers {
 		m.peers[i].from = 0
 	}
-	return true
 }
 
 // clash notes a conflict once.
--- a/internal/fleet/share/explore_test.go
+++ b/internal/fleet/share/explore_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"streamrail/internal/fleet/explore"
 	"streamrail/internal/fleet/member"
 )
 
@@ -183,35 +184,16 @@
 	return h.Sum64()
 }
 
-func explore(t *table, depth int) (states int, bad string) {
-	seen := map[uint64]struct{}{}
-	level := []*table{t}
-	for range depth {
-		var next []*table
-		for _, from := range level {
-			for _, step := range from.steps() {
-				to := from.clone()
-				step(to)
-				if to.bad != "" {
-					return len(seen), to.bad
-				}
-				k := to.key()
-				if _, known := seen[k]; !known {
-					seen[k] = struct{}{}
-					next = append(next, to)
-				}
-			}
-		}
-		level = next
-	}
-	return len(seen), ""
+// orders goes through every order of steps from a table and tells how many states it met, and the first that is bad.
+func orders(t *table, depth int) (states int, bad string) {
+	return explore.Orders(t, depth, (*table).clone, (*table).steps, (*table).key, func(t *table) string { return t.bad })
 }
 
 // In no order of turns, deliveries, repeats, losses, kills, starts and ends of leases do the parts add up to more than the whole,
 // with clocks as far apart as they may be.
 func TestEveryOrder(t *testing.T) {
 	for n := 2; n <= 3; n++ {
-		states, bad := explore(newTable(n, nil), *depth-n+2)
+		states, bad := orders(newTable(n, nil), *depth-n+2)
 		t.Logf("%d holders: %d states", n, states)
 		if bad != "" {
 			t.Errorf("%d holders: %s", n, bad)
@@ -241,7 +223,7 @@
 // Each wrong balancer is found, by the explorer or by drawn days.
 func TestWrongFound(t *testing.T) {
 	for name, wrong := range wrongs() {
-		_, bad := explore(newTable(2, func(t *table, i int) {
+		_, bad := orders(newTable(2, func(t *table, i int) {
 			if t.at[i] != nil {
 				wrong(t.at[i])
 			}
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/share/share.go
@@ -74,6 +74,9 @@
 // Turn is how often needs are looked at: several times within the second in which parts are to follow demand.
 const Turn = 200 * time.Millisecond
 
+// NeedTurns make the second over which a need is measured: in one turn a few calls more or less say nothing.
+const NeedTurns = 5
+
 // Kind is what a message is for.
 type Kind uint8
 
@@ -121,7 +124,6 @@
 	chance *rand.Rand
 	now    Moment
 	born   Moment
-	due    Moment
 	among  int // the most that anybody names
 
 	lent, borrowed []lease
@@ -162,7 +164,7 @@
 
 // New makes a process's machine. Nothing is known of what its life before has lent.
 func New(t Terms, now Moment) *Machine {
-	m := &Machine{terms: t, chance: rand.New(rand.NewPCG(t.Seed, uint64(t.Self))), now: now, born: now, due: now, among: max(1, t.Among),
+	m := &Machine{terms: t, chance: rand.New(rand.NewPCG(t.Seed, uint64(t.Self))), now: now, born: now, among: max(1, t.Among),
 		next: t.First}
 	for i, name := range t.Names {
 		b := bound{most: t.Bound[i]}
@@ -251,9 +253,6 @@
 	return ends
 }
 
-// Due is when Tick is owed.
-func (m *Machine) Due() Moment { return m.due }
-
 // Out gives what is to be sent since the last time.
 func (m *Machine) Out() (sends []Send) {
 	sends, m.sends = m.sends, nil
@@ -347,7 +346,6 @@
 // Tick looks at all needs: asks members for what is missing, gives back what is over.
 func (m *Machine) Tick(now Moment, members []member.Life) {
 	m.begin(now)
-	m.due = m.now + Turn
 	m.asks = slices.DeleteFunc(m.asks, func(a ask) bool { return m.now-a.at > m.terms.Lease/2 })
 	if m.half {
 		m.giveBack(func(*bound) bool { return true })
--- a/internal/rehearsal/gather/day.go
+++ b/internal/rehearsal/gather/day.go
@@ -29,13 +29,10 @@
 	came    [][]arrivals // by balancer and tenant
 }
 
-// needTurns make the second over which a need is measured, as in the balancer.
-const needTurns = 5
-
 // arrivals are the calls of the last turns.
 type arrivals struct {
 	turn int
-	n    [needTurns + 1]int // by turn; the one that goes on among them
+	n    [share.NeedTurns + 1]int // by turn; the one that goes on among them
 }
 
 func (a *arrivals) to(now time.Duration) {
@@ -53,21 +50,16 @@
 	for _, n := range a.n {
 		sum += n
 	}
-	return float64(sum) / (needTurns * share.Turn.Seconds())
+	return float64(sum) / (share.NeedTurns * share.Turn.Seconds())
 }
 
 // lookEvery is how often the views are noted, as at the doors of a day on sockets.
 const lookEvery = 250 * time.Millisecond
 
-// restartAfter is how long a balancer that is told to end goes on.
-const restartAfter = 3 * time.Second
-
-// PlayDay plays what the balancers of a day say to each other, and notes it; no calls come. Before may change the play, for tests.
-func PlayDay(day *scenario.Day, rec *record.Record, before func(*Play)) {
-	NewDay(day, rec, before).To(day.Length.D())
-}
+// RestartAfter is how long a balancer that is told to end goes on: its clients use the connections that they have.
+const RestartAfter = 3 * time.Second
 
-// NewDay lays out what the balancers of a day will say to each other.
+// NewDay lays out what the balancers of a day will say to each other, which is noted. Before may change the play, for tests.
 func NewDay(day *scenario.Day, rec *record.Record, before func(*Play)) *Day {
 	m := day.Mates
 	d := &Day{day: day, rec: rec, astray: map[int]bool{}, Play: New(Terms{Mates: day.Fleet.Balancers, Zones: len(day.Fleet.Zones), Seeds: 3, Period: m.Period.D(), Suspect: m.Suspect.D(),
@@ -206,7 +198,7 @@
 		}
 	case "balancer-restart":
 		for _, b := range hit {
-			d.at(min(from+restartAfter, d.day.Length.D()), func() { d.end(b, true); d.start(b) })
+			d.at(min(from+RestartAfter, d.day.Length.D()), func() { d.end(b, true); d.start(b) })
 		}
 	case "balancer-stall":
 		for _, b := range hit {
--- a/internal/rehearsal/gather/wrong_test.go
+++ b/internal/rehearsal/gather/wrong_test.go
@@ -89,9 +89,9 @@
 		}, []judge.Rule{judge.MatesTalk}},
 	} {
 		rec := record.New()
-		PlayDay(day, rec, func(p *Play) {
+		NewDay(day, rec, func(p *Play) {
 			p.Twist = func(mate int, in bool, msg *member.Message) { row.twist(p, mate, in, msg) }
-		})
+		}).To(day.Length.D())
 		v := judge.Judge(rec, runner.Terms(day))
 		if got := v.BrokenRules(); !slices.Equal(got, row.want) {
 			t.Errorf("%s: named for %q, expected %q", name, got, row.want)
--- a/internal/rehearsal/measure/limits.go
+++ b/internal/rehearsal/measure/limits.go
@@ -35,7 +35,7 @@
 
 // pressed is a fleet that is asked for more than it can do. One tenant keeps to its allowance, four others do not.
 const pressed = `
-name = "%s"
+name = "limits"
 length = "40s"
 [fleet]
 zones = ["east", "west"]
@@ -73,11 +73,61 @@
 	at     string
 	faults string
 	move   time.Duration // of the tenant
+	cut    bool          // between all, whose names its faults leave open
 }{
-	{"even", "", "", 0},
-	{"one", "at = [1]", "", 0},
-	{"one, then another", "at = [1]", "[[fault]]\ndo = \"tenant-move\"\nat = \"20s\"\ntenant = \"kiosks\"\nbalancers = [4]\n", 20 * time.Second},
-	{"one, all ways cut", "at = [1]", "[[fault]]\ndo = \"mate-cut\"\nat = \"5s\"\nfor = \"35s\"\nbalancers = [%s]\nto = [%[1]s]\n", 0},
+	{name: "even"},
+	{name: "one", at: "at = [1]"},
+	{name: "one, then another", at: "at = [1]", faults: "[[fault]]\ndo = \"tenant-move\"\nat = \"20s\"\ntenant = \"kiosks\"\nbalancers = [4]\n", move: 20 * time.Second},
+	{name: "one, all ways cut", at: "at = [1]", faults: "[[fault]]\ndo = \"mate-cut\"\nat = \"5s\"\nfor = \"35s\"\nbalancers = [%s]\nto = [%[1]s]\n", cut: true},
+}
+
+// limitDay is one kind of day in a scenario's words, for so many balancers.
+func limitDay(balancers int, at, faults string) string {
+	text := fmt.Sprintf(pressed, balancers, at)
+	for i := range 4 {
+		text += fmt.Sprintf(others, i+1)
+	}
+	return text + faults
+}
+
+// limitPlay is what is looked at of one day.
+type limitPlay struct {
+	rep     *report.Report
+	follows time.Duration
+	sum     float64 // the most that the parts of the one tenant's allowance added up to
+	bytes   float64 // a second of the first balancer
+}
+
+// playLimits plays a day; move is when the tenant's calls move to the fourth balancer, if they do.
+func playLimits(text string, mates int, seed uint64, moved bool, press float64, move time.Duration) (p limitPlay, err error) {
+	day, err := scenario.Parse("measure", []byte(text))
+	if err != nil {
+		return p, err
+	}
+	day.Seed, day.Mates.Limits, day.Fleet.Balancers = seed, moved, mates
+	day.Load.PerS, day.Load.Quota = press*day.Capacity(), allowed*press
+	res, err := virtual.Play(day, nil)
+	if err != nil {
+		return p, err
+	}
+	p.rep, p.follows = report.Of(res), gather.Never
+	sums := map[time.Duration]float64{}
+	for _, x := range res.Record.Parts {
+		if x.Limit != "allowance of kiosks" {
+			continue
+		}
+		sums[x.At] += x.Part
+		p.sum = max(p.sum, sums[x.At])
+		if move > 0 && x.At > move && x.Balancer == 3 && x.Part >= 0.9 {
+			p.follows = min(p.follows, x.At-move)
+		}
+	}
+	for _, t := range res.Record.Talks {
+		if t.Balancer == 0 {
+			p.bytes = max(p.bytes, float64(t.Bytes)/day.Length.D().Seconds())
+		}
+	}
+	return p, nil
 }
 
 // LimitsOf measures all kinds of days with so many balancers, on so many seeds.
@@ -85,89 +135,36 @@
 	for k := range len(limitDays) * len(presses) {
 		kind, press := limitDays[k%len(limitDays)], presses[k/len(limitDays)]
 		named := min(mates, 16) // a file names no more; the others are added
-		if kind.faults != "" && kind.move == 0 && named < mates {
-			continue
-		}
-		l := Limits{Name: kind.name, Asked: press, Mates: mates, Seeds: seeds, Equal: Side{Worst10: 1}, Moved: Side{Worst10: 1}}
-		names := ""
-		for i := range named {
-			names += fmt.Sprintf(", %d", i+1)
-		}
-		text := fmt.Sprintf(pressed, "limits", named, kind.at)
-		for i := range 4 {
-			text += fmt.Sprintf(others, i+1)
-		}
-		if faults := kind.faults; faults != "" {
-			if kind.move == 0 {
-				faults = fmt.Sprintf(faults, names[2:])
+		faults := kind.faults
+		if kind.cut {
+			if named < mates {
+				continue
 			}
-			text += faults
-		}
-		type one struct {
-			rep     *report.Report
-			follows time.Duration
-			sum     float64
-			bytes   float64
-			err     error
-		}
-		runs := make([][2]one, seeds)
-		next := make(chan int, 2*seeds)
-		for i := range 2 * seeds {
-			next <- i
-		}
-		close(next)
-		done := make(chan bool)
-		for range lanes {
-			go func() {
-				for i := range next {
-					to := &runs[i/2][i%2]
-					var day *scenario.Day
-					if day, to.err = scenario.Parse("measure", []byte(text)); to.err != nil {
-						continue
-					}
-					day.Seed, day.Mates.Limits, day.Fleet.Balancers = uint64(i/2+1), i%2 == 1, mates
-					day.Load.PerS, day.Load.Quota = press*day.Capacity(), allowed*press
-					res, err := virtual.Play(day, nil)
-					if to.err = err; err != nil {
-						continue
-					}
-					to.rep = report.Of(res)
-					to.follows = gather.Never
-					sums := map[time.Duration]float64{}
-					for _, p := range res.Record.Parts {
-						if p.Limit != "allowance of kiosks" {
-							continue
-						}
-						sums[p.At] += p.Part
-						if kind.move > 0 && p.At > kind.move && p.Balancer == 3 && p.Part >= 0.9 {
-							to.follows = min(to.follows, p.At-kind.move)
-						}
-					}
-					for _, s := range sums {
-						to.sum = max(to.sum, s)
-					}
-					for _, t := range res.Record.Talks {
-						if t.Balancer == 0 {
-							to.bytes = max(to.bytes, float64(t.Bytes)/day.Length.D().Seconds())
-						}
-					}
-				}
-				done <- true
-			}()
+			names := "1"
+			for i := 2; i <= named; i++ {
+				names += fmt.Sprintf(", %d", i)
+			}
+			faults = fmt.Sprintf(faults, names)
 		}
-		for range lanes {
-			<-done
+		text := limitDay(named, kind.at, faults)
+		plays := make([]limitPlay, 2*seeds) // of each seed the equal parts, then those that move
+		err := SideBySide(len(plays), lanes, func(i int) (err error) {
+			plays[i], err = playLimits(text, mates, uint64(i/2+1), i%2 == 1, press, kind.move)
+			return err
+		})
+		if err != nil {
+			return nil, err
 		}
+		l := Limits{Name: kind.name, Asked: press, Mates: mates, Seeds: seeds, Equal: Side{Worst10: 1}, Moved: Side{Worst10: 1}}
 		var follows []time.Duration
-		for _, r := range runs {
-			for k, side := range []*Side{&l.Equal, &l.Moved} {
-				if r[k].err != nil {
-					return nil, r[k].err
-				}
-				side.add(r[k].rep, float64(seeds))
+		for i, p := range plays {
+			if i%2 == 0 {
+				l.Equal.add(p.rep, float64(seeds))
+				continue
 			}
-			follows = append(follows, r[1].follows)
-			l.Sum, l.Bytes = max(l.Sum, r[1].sum), l.Bytes+r[1].bytes/float64(seeds)
+			l.Moved.add(p.rep, float64(seeds))
+			follows = append(follows, p.follows)
+			l.Sum, l.Bytes = max(l.Sum, p.sum), l.Bytes+p.bytes/float64(seeds)
 		}
 		if kind.move > 0 {
 			l.Follows = gather.Of(follows)
--- a/internal/rehearsal/measure/members.go
+++ b/internal/rehearsal/measure/members.go
@@ -50,20 +50,7 @@
 	var mu sync.Mutex
 	var first, last, birth, heal []time.Duration
 	each := func(n int, do func(seed uint64)) {
-		next := make(chan uint64, n)
-		for i := range n {
-			next <- uint64(i + 1)
-		}
-		close(next)
-		var group sync.WaitGroup
-		for range lanes {
-			group.Go(func() {
-				for seed := range next {
-					do(seed)
-				}
-			})
-		}
-		group.Wait()
+		SideBySide(n, lanes, func(i int) error { do(uint64(i + 1)); return nil })
 	}
 	each(seeds, func(seed uint64) {
 		f, l := gather.Death(usual(mates, seed, 0))
--- a/internal/rehearsal/virtual/faults.go
+++ b/internal/rehearsal/virtual/faults.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"streamrail/internal/rehearsal/gather"
 	"streamrail/internal/rehearsal/model"
 	"streamrail/internal/rehearsal/record"
 	"streamrail/internal/rehearsal/scenario"
@@ -23,9 +24,6 @@
 	}
 }
 
-// restartAfter is how long a balancer that is told to end goes on: its clients use the connections that they have.
-const restartAfter = 3 * time.Second
-
 // leavesIn is how long a front deals to a balancer that was told to end.
 const leavesIn = 300 * time.Millisecond
 
@@ -103,7 +101,7 @@
 			d.at(from, func() { d.balancers[b].unnoticed(leavesIn) })
 			d.at(from, func() {
 				lives := d.balancers[b].lives
-				d.after(restartAfter, func() {
+				d.after(gather.RestartAfter, func() {
 					if d.balancers[b].lives == lives && d.balancers[b].mod != nil { // else another fault has ended it by then
 						d.balancers[b].stop()
 						d.balancers[b].start()
