Open a silent watch anew in time: all waits of discovery are parts of one sum

Lines at fault: watchFor and grace in discovery.go (10 s and 3 s beyond, whatever the grace in the settings) and the pause of 50 to 100 ms, and more after further failures, before follow asked again. Ruled out on the way: dialling, the answer and applying it (the pause of 50 to 100 ms leaves about 1 ms for all three) and, by reading, calls that wait for a connection: the pool refuses them when the host leaves.

Now the waits are made from the settings' grace and the protocol's two times, so that noticed, asked again, answered and applied fit before told + grace: pushed lists are watched for 2 s a call and a watch is silent 1 s after that; asked ones wait 10 s as before and are silent after half of what is left. A silent watch is opened anew without a pause; where lists are pushed an agent that refuses is tried again within a quarter of the grace. An entry that cannot be read costs no longer the whole list, with the hosts beside it that leave; an older whole list takes back no leaving.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -14,6 +14,7 @@
 
 	"streamrail/internal/admin"
 	"streamrail/internal/deployment"
+	"streamrail/internal/discovery"
 	"streamrail/internal/handover"
 	"streamrail/internal/operator"
 	"streamrail/internal/pool"
@@ -33,6 +34,7 @@
 	running   context.Context
 	end       context.CancelFunc // of running
 	source    source
+	pace      discovery.Pace
 	subscribe chan struct{}
 
 	// mu guards the module, which is not concurrent, and what its orders touch. Nothing is sent, written or
@@ -63,6 +65,7 @@
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
 func New(told *deployment.Deployment, own *operator.File, log zerolog.Logger) *Balancer {
+	grace := told.DrainGrace * 9 / 10 // the rest is for goroutines and a clock that are late
 	room := told.Sockets - ownSockets
 	if told.Admin != "" {
 		room -= admin.Descriptors + handover.Descriptors
@@ -78,7 +81,8 @@
 		clients: newClients(told.Sockets / 4),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
 			Most: up, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout, Reports: told.Reports,
-			Grace: told.DrainGrace * 9 / 10}, told.Terms.OriginKind)}
+			Grace: grace}, told.Terms.OriginKind)}
+	b.pace = discovery.PaceOf(grace, !told.Terms.MustSubscribe)
 	b.fleet.own = own.Fleet
 	b.whole = holds{clients: int64(room - up), upstream: int64(up), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
 		bytes: int64(told.MemoryMB) << 20 / part}
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -60,8 +62,9 @@
 	stop  context.CancelFunc // ends the watch there; nil before the first
 	first chan struct{}      // closed once there is a list
 	once  sync.Once
-	list  discovery.List // as it is known now
-	known *int64         // version of the list from before the start, where the watch goes on from it
+	list  discovery.List                                                    // as it is known now
+	known *int64                                                            // version of the list from before the start, where the watch goes on from it
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
 }
 
 func (b *Balancer) names() discovery.Names {
@@ -79,7 +82,7 @@
 	}
 	ctx, stop := context.WithCancel(b.running)
 	b.source.stop = stop
-	watch := &discovery.Watch{Addr: b.source.addr, Names: b.names()}
+	watch := &discovery.Watch{Addr: b.source.addr, Names: b.names(), Pace: b.pace, Dial: b.source.dial}
 	if b.source.known != nil {
 		watch.From(*b.source.known)
 		b.source.known = nil // of the first address only
@@ -100,13 +103,11 @@
 	}
 }
 
-// Between tries to reach discovery: it is on this machine, and while it is down it says nothing.
-const firstAgain, lastAgain = 100 * time.Millisecond, 2 * time.Second
-
-// follow keeps the list. Where the module subscribes by itself it also decides when to try again.
+// follow keeps the list. Where the module subscribes by itself it also decides when to try again; a watch that has fallen
+// silent is opened anew at once all the same: what it missed must hold soon, and it has waited for longer than a call costs.
 func (b *Balancer) follow(ctx context.Context, watch *discovery.Watch, subscribed bool) {
 	defer watch.Close()
-	lag := firstAgain
+	lag := b.pace.First
 	for {
 		if !subscribed {
 			select {
@@ -118,7 +119,7 @@
 		}
 		l, err := watch.Next(ctx)
 		if err == nil {
-			lag = firstAgain
+			lag = b.pace.First
 			b.take(ctx, l)
 			continue
 		}
@@ -126,13 +127,16 @@
 			return
 		}
 		b.log.Warn().Err(err).Str("discovery", watch.Addr).Msg("discovery")
+		if errors.Is(err, discovery.ErrSilent) {
+			continue
+		}
 		if b.told.Terms.MustSubscribe {
 			subscribed = false
 			b.decide(func() { b.module.Listed(policy.ListUnavailable, nil) })
 			continue
 		}
 		wait := time.Duration(float64(lag) * (0.5 + rand.Float64()/2)) // spread, lest all balancers call together
-		lag = min(2*lag, lastAgain)
+		lag = min(2*lag, b.pace.Last)
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -148,6 +152,10 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if n := len(l.Unread); n > 0 {
+		b.log.Warn().Err(l.Unread[0].Why).Int("entries", n).Str("discovery", b.source.addr).Msg("entries of the list cannot be read, their hosts stay as they were")
+	}
+	l = l.Over(b.source.list)
 	b.source.keep(l)
 	if l.Whole {
 		b.listed(policy.ListReplace, l)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +28,14 @@
 	Generation int64
 	Whole      bool
 	Hosts      []Host
+	Unread     []Unread
+}
+
+// Unread is an entry that cannot be used: of an id, empty where it has none, and what can be made out of its condition.
+type Unread struct {
+	Cache     policy.CacheID
+	Condition policy.Condition // Up where nothing else is said
+	Why       error
 }
 
 // Names maps the names that discovery uses to the places in the settings' lists.
@@ -39,10 +49,10 @@
 }
 
 // answer is what discovery says, as JSON.
-type answer struct {
-	Generation int64      `json:"generation"`
-	Reset      bool       `json:"reset"`
-	Instances  []instance `json:"instances"`
+type answer[T any] struct {
+	Generation int64 `json:"generation"`
+	Reset      bool  `json:"reset"`
+	Instances  []T   `json:"instances"`
 }
 
 type instance struct {
@@ -56,25 +66,32 @@
 	StartedAtMs int64    `json:"startedAtMs"`
 }
 
-// Parse reads an answer. A list with a faulty entry is not taken at all: half a list would take hosts away.
+// Parse reads an answer. An entry that cannot be used is set apart: were the whole answer thrown away for it, the hosts
+// beside it that leave would be sent to for as long as it stands there.
 func (n Names) Parse(text []byte) (l List, err error) {
-	var body answer
+	var body answer[json.RawMessage]
 	if err = json.Unmarshal(text, &body); err != nil {
 		return l, err
 	}
 	l.Generation, l.Whole = body.Generation, body.Reset
-	for _, in := range body.Instances {
+	for _, raw := range body.Instances {
+		var in instance
+		err := json.Unmarshal(raw, &in) // of a field of a wrong kind it reads the others all the same
 		h := Host{Addr: in.HostPort, Entry: policy.Entry{Cache: policy.CacheID(in.InstanceID),
 			Cell: policy.Cell(in.Cell), Size: 1, Born: policy.Nanos(in.StartedAtMs) * policy.Millisecond}}
 		var ok bool
-		if in.Lifecycle == "" || in.InstanceID == "" {
-			return l, fmt.Errorf("an entry %q with lifecycle %q", in.InstanceID, in.Lifecycle)
-		}
-		if h.Condition, ok = conditions[in.Lifecycle]; !ok {
+		if h.Condition, ok = conditions[in.Lifecycle]; !ok && in.Lifecycle != "" {
 			h.Condition = policy.Draining // a state not known here is none in which it asks for work
 		}
-		if _, _, err = net.SplitHostPort(in.HostPort); err != nil && h.Condition != policy.Gone {
-			return l, fmt.Errorf("entry %q: %w", in.InstanceID, err)
+		if err == nil && (in.Lifecycle == "" || in.InstanceID == "") {
+			err = fmt.Errorf("an entry %.100q with lifecycle %.100q", in.InstanceID, in.Lifecycle)
+		}
+		if _, _, bad := net.SplitHostPort(in.HostPort); err == nil && bad != nil && h.Condition != policy.Gone {
+			err = fmt.Errorf("entry %.100q: %w", in.InstanceID, bad)
+		}
+		if err != nil {
+			l.Unread = append(l.Unread, Unread{h.Cache, h.Condition, err})
+			continue
 		}
 		if h.Zone, ok = n.Zones[in.Zone]; !ok {
 			h.Zone = policy.Zone(len(n.Zones)) // not in the settings: no balancer's own
@@ -90,9 +107,45 @@
 	return l, nil
 }
 
+// Over completes an answer by what was known before it. A host whose entry cannot be read stays as it was, but for leaving;
+// where an entry of a whole list does not even tell its id, it may be that of any host not named. A whole list of a version
+// before the known one is an older state, or another discovery's: it cannot take back that a process leaves; a later change can.
+func (l List) Over(known List) List {
+	was := make(map[policy.CacheID]Host, len(known.Hosts))
+	for _, h := range known.Hosts {
+		was[h.Cache] = h
+	}
+	if l.Whole && l.Generation < known.Generation {
+		for i, h := range l.Hosts {
+			if o, ok := was[h.Cache]; ok && o.Born == h.Born {
+				l.Hosts[i].Condition = max(h.Condition, o.Condition)
+			}
+		}
+	}
+	if len(l.Unread) == 0 {
+		return l
+	}
+	nameless, worse := false, map[policy.CacheID]policy.Condition{}
+	for _, u := range l.Unread {
+		nameless = nameless || u.Cache == ""
+		worse[u.Cache] = max(worse[u.Cache], u.Condition)
+	}
+	for _, h := range l.Hosts {
+		delete(was, h.Cache)
+	}
+	for _, h := range known.Hosts {
+		condition, unread := worse[h.Cache]
+		if _, left := was[h.Cache]; left && (unread || l.Whole && nameless) {
+			h.Condition = max(h.Condition, condition)
+			l.Hosts = append(l.Hosts, h)
+		}
+	}
+	return l
+}
+
 // Format writes a list as Parse reads it.
 func (n Names) Format(l List) []byte {
-	body := answer{Generation: l.Generation, Reset: l.Whole, Instances: []instance{}}
+	body := answer[instance]{Generation: l.Generation, Reset: l.Whole, Instances: []instance{}}
 	for _, h := range l.Hosts {
 		body.Instances = append(body.Instances, instance{string(h.Cache), h.Addr, nameOf(n.Zones, h.Zone), nameOf(n.Kinds, h.Kind),
 			int(h.Cell), nameOf(conditions, h.Condition), &h.Size, int64(h.Born / policy.Millisecond)})
@@ -111,17 +164,17 @@
 	return ""
 }
 
-const (
-	watchFor  = 10 * time.Second // what one call may wait
-	connectIn = time.Second      // the agent is on this machine
-	grace     = 3 * time.Second  // what an answer may take beyond that: one second cut off slow ones, to ask again
-	mostBytes = 8 << 20          // a list of some ten thousand hosts
-)
+const mostBytes = 8 << 20 // a list of some ten thousand hosts
+
+// ErrSilent is of a watch that has fallen silent: the call waited as long as it may and no answer came.
+var ErrSilent = errors.New("the watch has fallen silent")
 
 // Watch asks for the list, then for what changes.
 type Watch struct {
 	Addr  string
 	Names Names
+	Pace  Pace
+	Dial  func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
 	conn  net.Conn
 	in    *bufio.Reader
 	after int64
@@ -158,15 +211,24 @@
 	}
 }
 
+func (w *Watch) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.Pace.Connect)
+	defer cancel()
+	if w.Dial != nil {
+		return w.Dial(ctx, "tcp", w.Addr)
+	}
+	return new(net.Dialer).DialContext(ctx, "tcp", w.Addr)
+}
+
 func (w *Watch) ask(ctx context.Context) (l List, err error) {
-	target, wait := "/api/targets", grace
+	target, wait := "/api/targets", w.Pace.Whole
 	if w.begun {
-		target += "?after=" + strconv.FormatInt(w.after, 10) + "&wait_ms=" + strconv.FormatInt(watchFor.Milliseconds(), 10)
-		wait += watchFor
+		may := w.Pace.draw(rand.Float64())
+		target += "?after=" + strconv.FormatInt(w.after, 10) + "&wait_ms=" + strconv.FormatInt(may.Milliseconds(), 10)
+		wait = may + w.Pace.Answer
 	}
 	if w.conn == nil {
-		d := net.Dialer{Timeout: connectIn}
-		if w.conn, err = d.DialContext(ctx, "tcp", w.Addr); err != nil {
+		if w.conn, err = w.dial(ctx); err != nil {
 			return l, err
 		}
 		w.in = bufio.NewReader(w.conn)
@@ -177,6 +239,12 @@
 	if _, err = conn.Write(httpwire.AppendRequest(nil, "GET", target, w.Addr, -1)); err != nil {
 		return l, err
 	}
+	if w.begun {
+		if _, err = w.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+			return l, fmt.Errorf("%w: nothing for %v", ErrSilent, wait)
+		}
+		conn.SetDeadline(time.Now().Add(w.Pace.Whole)) // it has begun, and a long list may come in pieces
+	}
 	r, err := httpwire.Read(w.in, mostBytes, mostBytes, func(int) bool { return true })
 	if err != nil {
 		return l, err
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"streamrail/policy"
 )
@@ -46,7 +47,7 @@
 				io.WriteString(w, answer)
 			}))
 			defer s.Close()
-			w := &Watch{Addr: strings.TrimPrefix(s.URL, "http://"), Names: Names{Kinds: map[string]policy.Kind{}}}
+			w := &Watch{Addr: strings.TrimPrefix(s.URL, "http://"), Names: Names{Kinds: map[string]policy.Kind{}}, Pace: PaceOf(time.Second, true)}
 			defer w.Close()
 			if row.from > 0 {
 				w.From(row.from)
