--- a/internal/rehearsal/faults/faults.go
+++ b/internal/rehearsal/faults/faults.go
@@ -144,6 +144,10 @@
 			t.at(from, func() { t.w.Register.Silence(b, true) })
 			t.at(to, func() { t.w.Register.Silence(b, false) })
 		}
+	case "watch-silent":
+		for _, b := range balancers {
+			t.at(from, func() { t.w.Register.BreakWatches(b) })
+		}
 	case "register-rewind":
 		for _, b := range balancers {
 			t.at(from, func() { t.w.Register.Rewind(b) })
--- a/internal/rehearsal/runner/wrong_test.go
+++ b/internal/rehearsal/runner/wrong_test.go
@@ -116,6 +116,12 @@
 			text, _ := io.ReadAll(r.Body)
 			r.Body.Close()
 			b.learn(text)
+			var list struct{ Generation int64 }
+			if json.Unmarshal(text, &list) == nil && b.what == "patient" { // it never gives a watch up
+				if r, err := b.client.Get(fmt.Sprintf("http://%s/api/targets?after=%d&wait_ms=1000", b.told.Discovery, list.Generation)); err == nil {
+					r.Body.Close()
+				}
+			}
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -209,6 +209,7 @@
 	"zone-dark":        {"all nodes of a zone vanish and come back cold", []string{"for", "zone"}, nil},
 	"deploy":           {"nodes are replaced by cold successors, AT_ONCE at a time", []string{"for"}, []string{"nodes", "part", "at_once", "drain", "same_address"}},
 	"register-silent":  {"the register says nothing", []string{"for"}, []string{"balancers"}},
+	"watch-silent":     {"all open watches of the list fall silent; new ones work", nil, []string{"balancers"}},
 	"register-rewind":  {"the register's versions start over", nil, []string{"balancers"}},
 	"gateway-slow":     {"the gateway is BY times slower", []string{"for", "by"}, nil},
 	"gateway-reset":    {"the gateway breaks the connection in place of this part of its answers", []string{"for", "part"}, nil},
--- a/internal/rehearsal/virtual/faults.go
+++ b/internal/rehearsal/virtual/faults.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"streamrail/internal/discovery"
 	"streamrail/internal/rehearsal/gather"
 	"streamrail/internal/rehearsal/model"
 	"streamrail/internal/rehearsal/record"
@@ -71,6 +72,12 @@
 			d.at(from, func() { d.register.Silence(b, true) })
 			d.at(to, func() { d.register.Silence(b, false); d.balancers[b].hear(false) })
 		}
+	case "watch-silent": // noticed and opened anew as on sockets
+		pace := discovery.PaceOf(d.Rules.DrainGrace.D()*9/10, true)
+		for _, b := range d.HitBalancers(i) {
+			d.at(from, func() { d.register.Silence(b, true) })
+			d.at(from+pace.Wait+pace.Answer, func() { d.register.Silence(b, false); d.balancers[b].hear(false) })
+		}
 	case "register-rewind":
 		for _, b := range d.HitBalancers(i) {
 			d.at(from, func() { d.register.Rewind(b); d.balancers[b].hear(true) })
