State and test what comes of each bad list; tell how late a host was still written to

TestBadLists has the outcome of lists that come twice, half, spoilt, indented, out of order, older, with one faulty or nameless entry, empty or with states not known; none lets a send through to a host that leaves, none empties the list at hand but one that says so. A change whose entry has no name is followed by a call for the whole list: it may have told of a host that leaves.

The traffic line has after_told_ms, the longest time from when a host was told off to a write there that was still allowed; one compare under a lock that each shot takes already.

--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -65,5 +65,6 @@
 	b.log.Info().Uint64("taken", taken).Int64("fulfilled", t.fulfilled.Load()).
 		Int64("rate_limited", t.rateLimited.Load()).Int64("errored", t.errored.Load()).
 		Int64("abandoned", t.abandoned.Load()).Dict("shots", byOutcome).Int64("in_hand", b.open.Load()).
-		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).Msg("traffic")
+		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).
+		Float64("after_told_ms", float64(b.hosts.AfterTold().Microseconds())/1000).Msg("traffic")
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -200,6 +201,9 @@
 		return List{}, err
 	}
 	w.From(l.Generation)
+	if !l.Whole && slices.ContainsFunc(l.Unread, func(u Unread) bool { return u.Cache == "" }) {
+		w.begun = false // a change of nobody knows whom; the whole list may tell
+	}
 	return l, nil
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -23,13 +23,14 @@
 		answers []string
 		asked   string // the version in each call, "-" for the whole list
 	}{
-		"turned away":       {0, []string{whole, "503", "503", changes("8"), changes("8")}, "- 7 7 7 8"},
-		"known":             {41, []string{"503", changes("44"), changes("44")}, "41 41 44"},
-		"versions go back":  {41, []string{changes("40"), whole, changes("7")}, "41 - 7"},
-		"version unknown":   {41, []string{"410", whole, changes("9")}, "41 - 7"},
-		"spoilt":            {41, []string{"{", whole, changes("9")}, "41 - 7"},
-		"whole, older":      {41, []string{whole, changes("8")}, "41 7"},
-		"changes of no one": {0, []string{changes("8"), whole}, "- -"},
+		"turned away":           {0, []string{whole, "503", "503", changes("8"), changes("8")}, "- 7 7 7 8"},
+		"known":                 {41, []string{"503", changes("44"), changes("44")}, "41 41 44"},
+		"versions go back":      {41, []string{changes("40"), whole, changes("7")}, "41 - 7"},
+		"version unknown":       {41, []string{"410", whole, changes("9")}, "41 - 7"},
+		"spoilt":                {41, []string{"{", whole, changes("9")}, "41 - 7"},
+		"whole, older":          {41, []string{whole, changes("8")}, "41 7"},
+		"change without a name": {41, []string{`{"generation":42,"reset":false,"instances":[5]}`, whole, changes("9")}, "41 - 7"},
+		"changes of no one":     {0, []string{changes("8"), whole}, "- -"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var asked []string
@@ -61,3 +62,73 @@
 		})
 	}
 }
+
+// Whatever is wrong with an answer, a host that leaves stays left alone and the list at hand is not emptied by it.
+func TestBadLists(t *testing.T) {
+	names := Names{Zones: map[string]policy.Zone{"z": 0}, Kinds: map[string]policy.Kind{"k": 0}}
+	entry := func(id, state, more string) string {
+		return `{"instanceId":"` + id + `","hostPort":"127.0.0.1:1","zone":"z","machineType":"k","startedAtMs":5,"lifecycle":"` + state + `"` + more + `}`
+	}
+	list := func(version string, whole bool, entries ...string) string {
+		return `{"generation":` + version + `,"reset":` + strconv.FormatBool(whole) + `,"instances":[` + strings.Join(entries, ",") + `]}`
+	}
+	a, b := entry("a", "active", ""), entry("b", "active", "")
+	known := list("41", true, a, b, entry("c", "leaving", ""))
+	for name, row := range map[string]struct{ text, want string }{
+		"twice":                           {known, "41 a:up b:up c:draining"},
+		"half":                            {known[:len(known)/2], ""},
+		"nothing":                         {"", ""},
+		"another text":                    {"<html>", ""},
+		"more behind it":                  {known + "}", ""},
+		"older, whole":                    {list("7", true, a, b, entry("c", "active", "")), "7 a:up b:up c:draining"},
+		"older, another process":          {list("7", true, a, b, strings.Replace(entry("c", "active", ""), "5", "6", 1)), "7 a:up b:up c:up"},
+		"later, it leaves no more":        {list("42", false, entry("c", "active", "")), "42 c:up"},
+		"a faulty entry beside one":       {list("42", false, `{"instanceId":"a","lifecycle":"active"}`, entry("b", "leaving", "")), "42 b:draining a:up"},
+		"a faulty entry that leaves":      {list("42", false, `{"instanceId":"a","hostPort":7,"lifecycle":"leaving"}`), "42 a:draining"},
+		"a faulty entry that left, whole": {list("42", true, b, `{"instanceId":"a","cell":"x","lifecycle":"left"}`), "42 b:up a:gone"},
+		"a faulty one not known":          {list("42", false, `{"instanceId":"new","lifecycle":"active"}`, b), "42 b:up"},
+		"one without a name, whole":       {list("42", true, b, `{"hostPort":"127.0.0.1:1","lifecycle":"leaving"}`), "42 b:up a:up c:draining"},
+		"one without a name, changes":     {list("42", false, b, `5`), "42 b:up"},
+		"a state not known":               {list("42", false, entry("a", "resting", "")), "42 a:draining"},
+		"no state":                        {list("42", false, entry("a", "", "")), "42 a:up"},
+		"indented":                        {strings.NewReplacer("{", "{\r\n\t ", ",", " ,\n  ", ":5", " : 5").Replace(list("42", false, entry("a", "leaving", ""))), "42 a:draining"},
+		"a name not known before":         {list("42", false, entry("a", "leaving", `,"more":{"x":[1]}`)), "42 a:draining"},
+		"empty, whole":                    {list("42", true), "42"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at, err := names.Parse([]byte(known))
+			if err != nil {
+				t.Fatal(err)
+			}
+			l, err := names.Parse([]byte(row.text))
+			if err != nil {
+				if row.want != "" {
+					t.Error(err)
+				}
+				return
+			}
+			l = l.Over(at)
+			got := strconv.FormatInt(l.Generation, 10)
+			for _, h := range l.Hosts {
+				got += " " + string(h.Cache) + ":" + [...]string{"up", "draining", "gone"}[h.Condition]
+			}
+			if got != row.want {
+				t.Errorf("got %s, expected %s", got, row.want)
+			}
+		})
+	}
+}
+
+// A list of a thousand hosts with long names is far under the bound, and told whole.
+func TestLongList(t *testing.T) {
+	var l List
+	for i := range 5000 {
+		l.Hosts = append(l.Hosts, Host{Addr: "127.0.0.1:1", Entry: policy.Entry{Cache: policy.CacheID(strings.Repeat("x", 200) + strconv.Itoa(i)), Size: 1}})
+	}
+	names := Names{Kinds: map[string]policy.Kind{"k": 0}, Zones: map[string]policy.Zone{"z": 0}}
+	text := names.Format(l)
+	got, err := names.Parse(text)
+	if err != nil || len(got.Hosts) != 5000 || len(text) > mostBytes {
+		t.Errorf("%v: %d hosts of %d bytes", err, len(got.Hosts), len(text))
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -105,7 +105,8 @@
 	over  chan struct{}           // closed by Close
 	out   map[policy.CacheID]bool // taken out by hand
 
-	sent atomic.Int64 // shots written whole, to the origin too
+	sent      atomic.Int64  // shots written whole, to the origin too
+	afterTold time.Duration // the longest from when a host was told off here to a write there that was still allowed; under mu
 }
 
 type host struct {
@@ -301,7 +302,23 @@
 func (hs *Hosts) tooLate(h *host) bool {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
-	return !h.told.IsZero() && time.Since(h.told) > hs.limits.Grace
+	if h.told.IsZero() {
+		return false
+	}
+	since := time.Since(h.told)
+	if since > hs.limits.Grace {
+		return true
+	}
+	hs.afterTold = max(hs.afterTold, since)
+	return false
+}
+
+// AfterTold is how long after a host was told off something was still written to it, at the most since the start: what was on its
+// way to a connection. Near the whole grace means that this process is held up.
+func (hs *Hosts) AfterTold() time.Duration {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	return hs.afterTold
 }
 
 // Limit sets the bound on all connections anew.
