--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -399,7 +399,7 @@
 }
 
 type measureCommand struct {
-	What     string        `arg:"" optional:"" enum:",members,limits,sizes" default:"" help:"sizes: what a balancer takes with many hosts and balancers; members: how balancers see each other, in virtual time and on sockets; limits: parts that move beside equal ones, in virtual time; else what a balancer adds to a call."`
+	What     string        `arg:"" optional:"" enum:",members,limits,sizes,evidence" default:"" help:"evidence: balancers that tell each other of nodes beside the same ones alone, in virtual time; sizes: what a balancer takes with many hosts and balancers; members: how balancers see each other, in virtual time and on sockets; limits: parts that move beside equal ones, in virtual time; else what a balancer adds to a call."`
 	Virtual  []int         `default:"16,100,400" help:"With members: sizes in virtual time."`
 	Sockets  []int         `default:"5,16,40" help:"With members: sizes on sockets."`
 	Seeds    int           `default:"200" help:"With members: seeds in virtual time."`
@@ -431,6 +431,8 @@
 		return c.members(ctx, program)
 	case "limits":
 		return c.limits()
+	case "evidence":
+		return c.evidence()
 	case "sizes":
 		return c.sizes(ctx, program)
 	}
@@ -453,6 +455,27 @@
 	return nil
 }
 
+// evidence measures what it is worth that balancers tell each other of nodes.
+func (c measureCommand) evidence() error {
+	var all []measure.Evidence
+	for _, n := range c.Virtual {
+		rows, err := measure.EvidenceOf(n, c.Seeds, runtime.GOMAXPROCS(0))
+		if err != nil {
+			return err
+		}
+		for _, e := range rows {
+			if !c.JSON {
+				e.Text(os.Stdout)
+			}
+		}
+		all = append(all, rows...)
+	}
+	if c.JSON {
+		return printJSON(all)
+	}
+	return nil
+}
+
 // sizes measures what one balancer takes.
 func (c measureCommand) sizes(ctx context.Context, program string) error {
 	tell := func(s measure.Size) { measure.SizesLine(os.Stdout, s) }
--- a/cmd/streamrail/fleet_test.go
+++ b/cmd/streamrail/fleet_test.go
@@ -43,6 +43,7 @@
 type mates struct {
 	all  []*mate
 	ways *standin.Relays
+	list *list
 }
 
 // newFleet starts some balancers, with more keys in their section and other settings where given, that know the first ones' addresses, and waits until each sees all.
@@ -50,7 +51,7 @@
 	h := newHost(t, "h", hit)
 	d := newList(t)
 	d.set("h", h.addr, "cache", "active")
-	f := &mates{}
+	f := &mates{list: d}
 	var targets []netip.AddrPort
 	for i := range n {
 		m := &mate{name: fmt.Sprintf("n%d", i), door: freeAddr(t), udp: freeUDP(t)}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,6 +33,8 @@
 	Limits() (Limits, error)
 	// Orders are those by hand for the whole fleet; an error says why there are none.
 	Orders() (Orders, error)
+	// Evidence is what other balancers say of hosts; an error says why nothing is heard.
+	Evidence() (Evidence, error)
 }
 
 // What a call on a member may meet.
@@ -95,11 +97,12 @@
 			w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 			w.Write(text)
 		}},
-		"/api/members": {http.MethodGet, shows(to.Members)},
-		"/api/limits":  {http.MethodGet, shows(to.Limits)},
-		"/api/orders":  {http.MethodGet, shows(to.Orders)},
-		"/api/exclude": {http.MethodPost, onMember(to.Exclude, "is out")},
-		"/api/include": {http.MethodPost, onMember(to.Include, "is in")},
+		"/api/members":  {http.MethodGet, shows(to.Members)},
+		"/api/limits":   {http.MethodGet, shows(to.Limits)},
+		"/api/orders":   {http.MethodGet, shows(to.Orders)},
+		"/api/evidence": {http.MethodGet, shows(to.Evidence)},
+		"/api/exclude":  {http.MethodPost, onMember(to.Exclude, "is out")},
+		"/api/include":  {http.MethodPost, onMember(to.Include, "is in")},
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -59,8 +59,9 @@
 	figures    *figures
 	upgrade    upgrade
 	fleet      fleet
-	limits     *limits // nil: parts of what holds for the fleet are equal ones
-	orders     *orders // nil: orders by hand hold here alone
+	limits     *limits    // nil: parts of what holds for the fleet are equal ones
+	orders     *orders    // nil: orders by hand hold here alone
+	witnesses  *witnesses // nil: hosts are judged by own shots alone
 }
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
@@ -94,6 +95,7 @@
 	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
 	b.limits = b.newLimits(own.Connections.Openings)
 	b.orders = b.newOrders()
+	b.witnesses = b.newWitnesses()
 	b.decide(func() { b.module = policy.New(host{b}, told.Terms, told.Seed) })
 	return b
 }
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -86,6 +86,7 @@
 		select {
 		case e := <-c.ended:
 			c.out--
+			b.saw(c, e)
 			won := false
 			b.decide(func() {
 				b.tally.shot(c.shots[e.shot].To, e.Outcome)
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -45,6 +45,7 @@
 	f.mu.Unlock()
 	b.shareLimits(carrier)
 	b.followOrders(carrier)
+	b.followEvidence(carrier)
 	return nil
 }
 
@@ -78,6 +79,7 @@
 	f := &b.fleet
 	b.stopSharing()
 	b.endOrders()
+	b.endEvidence()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.carrier != nil {
@@ -112,6 +114,7 @@
 	f := &b.fleet
 	b.stopSharing()
 	b.endOrders()
+	b.endEvidence()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.carrier != nil {
--- /dev/null
+++ b/internal/fleet/evidence/evidence_test.go
@@ -0,0 +1,179 @@
+package evidence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"streamrail/internal/fleet/member"
+)
+
+func listens(zones ...string) (*Machine, []Peer) {
+	m := New(Terms{Self: 1, Zone: "a"})
+	peers := []Peer{{1, "a"}}
+	for i, z := range zones {
+		peers = append(peers, Peer{member.Life(i + 2), z})
+	}
+	m.Tick(0, peers, 8)
+	return m, peers
+}
+
+func says(host string, good, bad int) []Row { return []Row{{host, good, bad}} }
+
+func said(m *Machine) (text string) {
+	for _, w := range m.Words() {
+		text += fmt.Sprintf("%s %.1f:%.1f ", w.Host, w.Good, w.Bad)
+	}
+	return text
+}
+
+// Whom to believe, and how much: one witness takes nobody out, nor does another zone by itself, nor who finds all hosts bad;
+// what is said weighs no more than a few endings, is of a quarter of the hosts at most, and ends by itself.
+func TestWitnesses(t *testing.T) {
+	many := []Row{{"p", 0, 2}, {"q", 0, 2}, {"r", 0, 2}, {"s", 1, 0}}
+	for name, row := range map[string]struct {
+		zones []string
+		rows  [][]Row
+		want  string
+	}{
+		"one":               {[]string{"a"}, [][]Row{says("h", 0, 900)}, ""},
+		"two":               {[]string{"a", "a"}, [][]Row{says("h", 0, 9), says("h", 0, 1)}, "h 0.0:2.0 "},
+		"outvoted":          {[]string{"a", "a", "a", "a"}, [][]Row{says("h", 0, 9), says("h", 0, 9), says("h", 1, 0), says("h", 1, 0)}, ""},
+		"most":              {[]string{"a", "a", "a"}, [][]Row{says("h", 0, 9), says("h", 0, 9), says("h", 7, 0)}, "h 1.0:2.0 "},
+		"eight weigh four":  {[]string{"a", "a", "a", "a", "a", "a", "a", "a"}, slices.Repeat([][]Row{says("h", 0, 9)}, 8), "h 0.0:4.0 "},
+		"another zone":      {[]string{"b", "b", "b", "b"}, slices.Repeat([][]Row{says("h", 0, 9)}, 4), ""},
+		"two other zones":   {[]string{"b", "b", "c", "c"}, slices.Repeat([][]Row{says("h", 0, 9)}, 4), "h 0.0:2.0 "},
+		"finds all bad":     {[]string{"a", "a", "a"}, [][]Row{many, many, says("p", 0, 1)}, ""},
+		"a quarter of them": {[]string{"a", "a"}, slices.Repeat([][]Row{{{"p", 0, 2}, {"q", 1, 2}, {"r", 0, 2}, {"s", 8, 0}, {"t", 8, 0}, {"u", 8, 0}, {"v", 8, 0}}}, 2), "p 0.0:2.0 r 0.0:2.0 "},
+		"nonsense":          {[]string{"a", "a"}, slices.Repeat([][]Row{{{"p", -3, 5}, {"", 0, 0}}}, 2), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, peers := listens(row.zones...)
+			for i, rows := range row.rows {
+				m.Hear(0, peers[i+1].Life, &Message{N: 1, Rows: rows})
+			}
+			m.Tick(Turn, peers, 8)
+			if got := said(m); got != row.want {
+				t.Errorf("%q, expected %q", got, row.want)
+			}
+			if m.Tick(2*Turn+keep, peers, 8); said(m) != "" {
+				t.Errorf("still said: %q", said(m))
+			}
+		})
+	}
+}
+
+// Every sequence, with losses and repeats, of two messages of each of three witnesses: what comes of it hangs on the last message of
+// each that came, and on nothing else.
+func TestAnyOrder(t *testing.T) {
+	states := 0
+	for n := range 6 * 6 * 6 * 6 * 6 {
+		m, peers := listens("a", "a", "a")
+		want, wantPeers := listens("a", "a", "a")
+		last := map[int]int{}
+		for k, rest := 0, n; k < 5; k, rest = k+1, rest/6 {
+			who, which := rest%6/2, rest%6%2
+			m.Hear(0, peers[who+1].Life, &Message{N: uint64(which + 1), Rows: says("h", which, which*who)})
+			last[who] = max(last[who], which+1)
+		}
+		for who, which := range last {
+			want.Hear(0, wantPeers[who+1].Life, &Message{N: uint64(which), Rows: says("h", which-1, (which-1)*who)})
+		}
+		m.Tick(Turn, peers, 8)
+		want.Tick(Turn, wantPeers, 8)
+		if states++; said(m) != said(want) || m.Heard() != want.Heard() {
+			t.Fatalf("sequence %d: %q, expected %q", n, said(m), said(want))
+		}
+	}
+	if states != 7776 {
+		t.Errorf("%d sequences", states)
+	}
+}
+
+// Who stood still comes back with messages of before: they do not count, nor does what left its own window meanwhile.
+func TestOldAnger(t *testing.T) {
+	m, peers := listens("a", "a")
+	hear := func(now, at Moment, n uint64) {
+		for _, p := range peers[1:] {
+			m.Hear(now, p.Life, &Message{N: n, At: at, Rows: says("h", 0, 9)})
+		}
+		m.Tick(now, peers, 8)
+	}
+	hear(0, 5*time.Hour, 1) // clocks have nothing to do with each other
+	if said(m) == "" {
+		t.Fatal("not heard")
+	}
+	hear(20*time.Second, 5*time.Hour+10*time.Second, 2)
+	if said(m) != "" {
+		t.Errorf("ten seconds old, and said: %q", said(m))
+	}
+	hear(21*time.Second, 5*time.Hour+20*time.Second+500*time.Millisecond, 3)
+	if said(m) == "" {
+		t.Error("not heard again")
+	}
+	w := New(Terms{Self: 9, Zone: "a"})
+	w.Ended(0, "h", false)
+	w.Tick(time.Second, peers, 8)
+	if out := w.Out(); len(out) != 3 || len(out[0].Msg.Rows) != 1 {
+		t.Fatalf("%+v", out)
+	}
+	w.Tick(11*time.Second, peers, 8)
+	if out := w.Out(); len(out[0].Msg.Rows) != 0 {
+		t.Errorf("told after ten seconds: %+v", out[0].Msg.Rows)
+	}
+}
+
+// A hundred that each meet a host every other second, a tenth of what they say lost: most have the word on a bad host within the bound,
+// hardly one ever has one on a good host that fails now and then, and it ends within the staleness once the host is well.
+func TestFleet(t *testing.T) {
+	const n, hosts = 100, 40
+	r := rand.New(rand.NewPCG(1, 2))
+	var all []*Machine
+	var peers []Peer
+	for i := range n {
+		peers = append(peers, Peer{member.Life(i + 1), []string{"a", "b"}[i%2]})
+		all = append(all, New(Terms{Self: member.Life(i + 1), Zone: []string{"a", "b"}[i%2]}))
+	}
+	know := func() (bad, good int) {
+		for _, m := range all {
+			for _, w := range m.Words() {
+				if w.Host == "h0" {
+					bad++
+				} else {
+					good++
+				}
+			}
+		}
+		return bad, good
+	}
+	turn := func(s int, ill bool) {
+		now := time.Duration(s) * Turn
+		for _, m := range all {
+			for range hosts / 4 {
+				h := r.IntN(hosts)
+				m.Ended(now, fmt.Sprint("h", h), !(ill && h == 0) && r.IntN(50) > 0)
+			}
+			m.Tick(now, peers, hosts)
+			for _, s := range m.Out() {
+				if r.IntN(10) > 0 {
+					all[s.To-1].Hear(now, m.terms.Self, &s.Msg)
+				}
+			}
+		}
+	}
+	for s := range 16 {
+		turn(s, true)
+	}
+	bad, good := know()
+	if bad < n*9/10 || good > n/50 {
+		t.Errorf("after 8 s %d of %d know the bad host; %d words on good ones", bad, n, good)
+	}
+	for s := 16; s < 16+window+int(keep/Turn)+2; s++ {
+		turn(s, false)
+	}
+	if bad, good = know(); bad > 0 || good > n/50 {
+		t.Errorf("%d still have a word on a host that is well, %d on others", bad, good)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/measure/evidence.go
@@ -0,0 +1,204 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"streamrail/internal/fleet/evidence"
+	"streamrail/internal/rehearsal/record"
+	"streamrail/internal/rehearsal/report"
+	"streamrail/internal/rehearsal/scenario"
+	"streamrail/internal/rehearsal/virtual"
+)
+
+// Evidence is one kind of day, played by balancers that tell each other of nodes and by the same ones that do not, on the same seeds.
+type Evidence struct {
+	Name         string
+	Mates, Seeds int
+	Alone, Told  EvidenceSide
+}
+
+// EvidenceSide are means over the seeds.
+type EvidenceSide struct {
+	AtBad    float64 // shots a day that came to bad nodes while they were bad
+	Vain     float64 // shots a day that brought nothing, at any node
+	Service  float64
+	Worst10  float64 // the worst ten seconds of all days
+	WorstDay float64 // service of the worst day
+	Broken   int     // rules, on all days
+	Took     time.Duration
+	by       []float64 // service by seed
+}
+
+// scarceDay is a fleet whose balancers meet a node once in seconds; %s are its faults.
+const scarceDay = `
+name = "evidence"
+length = "40s"
+[fleet]
+zones = ["east", "west"]
+balancers = %d
+cross = "2ms"
+[mates]
+on = true
+evidence = %v
+loss = 0.05
+[[node]]
+name = "e"
+zone = "east"
+count = %d
+[[node]]
+name = "w"
+zone = "west"
+count = %[3]d
+[load]
+per_s = %.1f
+[client]
+tries = 1
+%s
+`
+
+// evidenceDays are the kinds: a fifth of the nodes fail, hang, or both by turns; or all are well and some balancers lie.
+var evidenceDays = []struct {
+	name   string
+	faults []string // what to do, and from when to when
+	lie    virtual.Liars
+}{
+	{name: "a fifth of the nodes fail, two groups by turns", faults: []string{"fail 5 14", "fail 20 32"}},
+	{name: "a fifth hang, two groups by turns", faults: []string{"stall 5 14", "stall 20 32"}},
+	{name: "all nodes are well", faults: nil},
+	{name: "all are well, three in eight balancers call a quarter of the nodes bad", lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
+		if b%8 >= 3 {
+			return rows
+		}
+		for i, r := range rows {
+			if i%4 == 0 {
+				r.Good, r.Bad = 0, 9
+			}
+			lies = append(lies, r)
+		}
+		return lies
+	}},
+	{name: "all are well, three in eight call all nodes bad", lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
+		for _, r := range rows {
+			if b%8 < 3 {
+				r.Good, r.Bad = 0, 9
+			}
+			lies = append(lies, r)
+		}
+		return lies
+	}},
+	{name: "a fifth fail by turns, three in eight call all nodes well", faults: []string{"fail 5 14", "fail 20 32"}, lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
+		for _, r := range rows {
+			if b%8 < 3 {
+				r.Good, r.Bad = 9, 0
+			}
+			lies = append(lies, r)
+		}
+		return lies
+	}},
+}
+
+// scarcePerS is what a balancer is called a second, and scarceNodes how many nodes a zone has.
+const (
+	scarcePerS  = 8
+	scarceNodes = 30
+)
+
+// EvidenceOf measures all kinds of days with so many balancers, on so many seeds.
+func EvidenceOf(mates, seeds, lanes int) (all []Evidence, err error) {
+	for _, kind := range evidenceDays {
+		faults := ""
+		type span struct {
+			from, to time.Duration
+			nodes    map[string]bool
+		}
+		var bad []span
+		for k, text := range kind.faults {
+			var do string
+			var from, to int
+			fmt.Sscan(text, &do, &from, &to)
+			s, names := span{time.Duration(from) * time.Second, time.Duration(to) * time.Second, map[string]bool{}}, ""
+			for i := range scarceNodes / 10 {
+				for _, zone := range []string{"e", "w"} {
+					n := fmt.Sprintf("%s-%d", zone, 1+i+k*scarceNodes/10)
+					s.nodes[n] = true
+					names += fmt.Sprintf("%q, ", n)
+				}
+			}
+			part := ""
+			if do == "fail" {
+				part = "part = 1.0\n"
+			}
+			faults += fmt.Sprintf("[[fault]]\ndo = %q\nat = \"%ds\"\nfor = \"%ds\"\n%snodes = [%s]\n", do, from, to-from, part, names)
+			bad = append(bad, s)
+		}
+		plays := make([]EvidenceSide, 2*seeds)
+		err := SideBySide(len(plays), lanes, func(i int) error {
+			day, err := scenario.Parse("measure", fmt.Appendf(nil, scarceDay, mates, i%2 == 1, scarceNodes, float64(scarcePerS*mates), faults))
+			if err != nil {
+				return err
+			}
+			day.Seed = uint64(i/2 + 1)
+			res, err := virtual.PlayLying(day, kind.lie)
+			if err != nil {
+				return err
+			}
+			p, rep := &plays[i], report.Of(res)
+			p.Service, p.Worst10, p.Broken, p.Took = rep.Service.Whole, rep.Service.Worst10s, len(rep.Verdict.BrokenRules()), rep.Took
+			for _, s := range res.Record.Shots {
+				if s.Server != record.Gateway && s.Proof != record.WasServed && s.Proof != record.Missed {
+					p.Vain++
+				}
+				for _, b := range bad {
+					if b.nodes[s.Server] && s.Came >= b.from && s.Came < b.to {
+						p.AtBad++
+					}
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		e := Evidence{Name: kind.name, Mates: mates, Seeds: seeds}
+		for i, p := range plays {
+			if i%2 == 0 {
+				e.Alone.add(p, seeds)
+			} else {
+				e.Told.add(p, seeds)
+			}
+		}
+		all = append(all, e)
+	}
+	return all, nil
+}
+
+func (s *EvidenceSide) add(p EvidenceSide, seeds int) {
+	n := float64(seeds)
+	s.AtBad, s.Vain, s.Service = s.AtBad+p.AtBad/n, s.Vain+p.Vain/n, s.Service+p.Service/n
+	if len(s.by) == 0 {
+		s.Worst10, s.WorstDay = 1, 1
+	}
+	s.Worst10, s.WorstDay = min(s.Worst10, p.Worst10), min(s.WorstDay, p.Service)
+	s.Broken += p.Broken
+	s.Took += p.Took / time.Duration(seeds)
+	s.by = append(s.by, p.Service)
+}
+
+// Text prints the figures.
+func (e Evidence) Text(to io.Writer) {
+	fmt.Fprintf(to, "%d balancers, %s, %d seeds\n", e.Mates, e.Name, e.Seeds)
+	for _, x := range []struct {
+		name string
+		s    EvidenceSide
+	}{{"alone", e.Alone}, {"told", e.Told}} {
+		fmt.Fprintf(to, "  %-6s %7.0f shots at bad nodes, %7.0f in vain; service %.4f, worst day %.4f, worst 10 s %.3f; %d rules broken; %v to play\n",
+			x.name, x.s.AtBad, x.s.Vain, x.s.Service, x.s.WorstDay, x.s.Worst10, x.s.Broken, x.s.Took.Round(time.Millisecond))
+	}
+	worst := 0.0
+	for i, v := range e.Told.by {
+		worst = min(worst, v-e.Alone.by[i])
+	}
+	fmt.Fprintf(to, "  worst difference of a day %+.4f\n", worst)
+}
--- a/internal/rehearsal/runner/mates.go
+++ b/internal/rehearsal/runner/mates.go
@@ -62,8 +62,8 @@
 			peers = append(peers, fmt.Sprintf("%q", to))
 		}
 	}
-	return fmt.Sprintf("\n[fleet]\nname = \"rehearsal\"\naddress = %q\nperiod = %q\nsuspect = %q\nbudget = %d\nlimits = %v\nlease = %q\npeers = [%s]\nvia = {%s}\n", m.addrs[b],
-		d.Mates.Period, d.Mates.Suspect, d.Mates.Budget, d.Mates.Limits, d.Mates.Lease, strings.Join(peers, ", "), strings.Join(via, ", "))
+	return fmt.Sprintf("\n[fleet]\nname = \"rehearsal\"\naddress = %q\nperiod = %q\nsuspect = %q\nbudget = %d\nlimits = %v\nevidence = %v\nlease = %q\npeers = [%s]\nvia = {%s}\n", m.addrs[b],
+		d.Mates.Period, d.Mates.Suspect, d.Mates.Budget, d.Mates.Limits, d.Mates.Evidence, d.Mates.Lease, strings.Join(peers, ", "), strings.Join(via, ", "))
 }
 
 // name is a balancer's, or the one it has by mistake.
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -161,6 +161,8 @@
 	Jitter  Span    `toml:"jitter"`
 	Limits  bool    `toml:"limits"` // parts of what holds for the fleet move
 	Lease   Span    `toml:"lease"`
+	// Evidence has balancers tell each other how shots at nodes ended.
+	Evidence bool `toml:"evidence"`
 }
 
 // Way is what the day has between any two balancers.
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"streamrail/internal/fleet/evidence"
 	"streamrail/internal/rehearsal/model"
 	"streamrail/internal/rehearsal/record"
 	"streamrail/internal/rehearsal/scenario"
@@ -25,7 +26,9 @@
 	life  record.Life
 	dealt bool // the front holds it for alive
 	round int
-	until time.Duration // it stands still until then
+	until time.Duration     // it stands still until then
+	seen  *evidence.Machine // nil: none yet
+	said  map[string]bool   // nodes that others call bad
 }
 
 // awake lets the process that runs now do something: at once, or when it goes on after it stood still. Where it has ended by
@@ -89,7 +92,7 @@
 	}
 	b.lives++
 	b.until = 0
-	b.calls, b.up, b.after = map[policy.CallID]*call{}, map[string]bool{}, 0
+	b.calls, b.up, b.after, b.seen, b.said = map[policy.CallID]*call{}, map[string]bool{}, 0, nil, nil
 	b.life = record.Life{Balancer: b.index, Start: b.d.now, Ready: max(1, b.d.now)}
 	seed := model.Stream(b.d.Seed, fmt.Sprint("balancer ", b.index, b.lives)).Uint64()
 	b.mod = policy.New(host{b, b.lives}, b.d.terms(b.zone), seed)
@@ -414,6 +417,12 @@
 	if won {
 		c.settle(record.Fulfilled, 0)
 	}
+	if b.seen != nil && s.to != nil {
+		slo := policy.Nanos(b.d.Products[c.rec.Product].LatencySLO)
+		if good, proves := evidence.Proves(o, policy.Nanos(b.d.now-s.sent), slo); proves {
+			b.seen.Ended(b.d.now, s.to.id, good)
+		}
+	}
 	b.mod.Ended(policy.Ending{Call: policy.CallID(c.id), Shot: s.n, Final: c.settled, Outcome: o, Took: policy.Nanos(b.d.now - s.sent),
 		Cache: policy.CacheID(s.server())})
 	b.leave(c)
--- a/internal/rehearsal/virtual/day.go
+++ b/internal/rehearsal/virtual/day.go
@@ -35,13 +35,15 @@
 	trace     io.Writer // one line an event; nil: none
 	wrong     wrong
 	mates     *gather.Day // nil: balancers do not speak
+	evidence  *evidenceOf // nil: they do not speak of nodes
 }
 
 // wrong is what a day does to its modules on purpose, to see that the judge names it. Its zero value does nothing.
 type wrong struct {
-	lie  func(policy.Outcome) policy.Outcome // how a shot's end is told
-	deaf bool                                // leaving hosts are not told of
-	warm bool                                // cold hosts are told to be warm
+	lie   func(policy.Outcome) policy.Outcome // how a shot's end is told
+	deaf  bool                                // leaving hosts are not told of
+	warm  bool                                // cold hosts are told to be warm
+	liars Liars                               // who tell something else of hosts than they saw
 }
 
 // note writes a line of the trace.
@@ -90,6 +92,9 @@
 	for _, b := range d.balancers {
 		b.start()
 	}
+	if s.Mates.On && s.Mates.Evidence {
+		d.shareEvidence(w.liars)
+	}
 	for i := range s.Faults {
 		d.fault(i)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -702,6 +702,7 @@
 func (b *Balancer) standing(h *cache) (mean, bar, n float64) {
 	now := b.host.Now()
 	good, bad := h.health.faded(now)
+	good, bad = good+h.saidGood, bad+h.saidBad // a dozen own good ones outweigh the most said
 	if n := b.overdue(h); n > hung {
 		bad += n
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -66,7 +66,8 @@
 	owed                 Nanos   // put back by hand and not used since: it is, once this has come
 	budget               float64 // API calls that it may still get while cold
 	budgetAt             Nanos
-	delay                meter // of its shots beyond calm times, in parts of their SLOs
+	delay                meter   // of its shots beyond calm times, in parts of their SLOs
+	saidGood, saidBad    float64 // endings that it is worth what other balancers say of it
 }
 
 type call struct {
@@ -314,5 +315,12 @@
 	return listed, avoided
 }
 
+// Said hears what other balancers say of a cache, as so many endings of each kind; both 0: nothing any more.
+func (b *Balancer) Said(id CacheID, good, bad float64) {
+	if h := b.caches[id]; h != nil && h != b.origin {
+		h.saidGood, h.saidBad = good, bad
+	}
+}
+
 // Part hears which part of a customer's allowance is this balancer's from now on; 0: nothing is told any more.
 func (b *Balancer) Part(c Customer, part float64) { b.allowances[c].part = part }
