Leave the wrong balancer that holds answers back time to answer on a busy machine

TestJudgeNamesTheWrong/hold failed once in a race run beside two plays of the full fleet: the balancer answered 20 ms before the client left, and two of its answers came too late, which the judge named rightly. It answers 200 ms before now; held back by far more than the 300 ms that count.

--- a/internal/rehearsal/runner/wrong_test.go
+++ b/internal/rehearsal/runner/wrong_test.go
@@ -215,7 +215,7 @@
 		time.Sleep(10 * time.Second)
 		return ""
 	case b.what == "hold" && b.every(50):
-		time.Sleep(time.Until(until))
+		time.Sleep(time.Until(until) - 200*time.Millisecond) // a busy machine would else make it a call without an answer
 		return busy
 	}
 	if !cmd.Write {
