--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -164,7 +164,7 @@
 	r := &reader{pairs: pairs}
 	d.ConnectTimeout = time.Duration(r.num("caps.connectTimeoutNs", float64(250*time.Millisecond)))
 	d.IdleLimit = time.Duration(r.num("caps.keepaliveNs", float64(10*time.Second)))
-	d.DrainGrace = time.Duration(r.num("rules.drainGraceNs", float64(time.Second)))
+	d.DrainGrace = time.Duration(r.within("rules.drainGraceNs", float64(time.Second), 0, float64(time.Hour)))
 	for i := range d.Terms.Products {
 		d.ClientTimeout = max(d.ClientTimeout, time.Duration(r.num(fmt.Sprintf("products.%d.clientTimeoutNs", i), 3e9)))
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// What the module and the shell read of reports and prices is checked, and absent it changes nothing.
+// What the module and the shell read of reports, prices, sizes and the grace is checked, and absent it changes nothing.
 func TestReportsAndPrices(t *testing.T) {
 	for _, row := range []struct {
 		settings     string
@@ -85,6 +85,11 @@
 		{`"prices":{"origin":-1}`, false, 0, 0, "prices.origin"},
 		{`"prices":{"crossZone":"dear"}`, false, 0, 0, "prices.crossZone"},
 		{`"prices":{"crossZone":"NaN"}`, false, 0, 0, "prices.crossZone"},
+		{`"balancers":1025`, false, 0, 0, ""},
+		{`"balancers":-3`, false, 0, 0, "settings.balancers"},
+		{`"balancers":1e12`, false, 0, 0, "settings.balancers"},
+		{`"rules":{"drainGraceNs":-1}`, false, 0, 0, "settings.rules.drainGraceNs"},
+		{`"rules":{"drainGraceNs":"NaN"}`, false, 0, 0, "settings.rules.drainGraceNs"},
 	} {
 		d := &Deployment{}
 		err := d.settle(json.RawMessage(`{` + row.settings + `,"products":[{"name":"p","effect":"idempotent"}]}`))
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -57,6 +57,18 @@
 	return n
 }
 
+// mostBalancers stops slips; no list is as long.
+const mostBalancers = 1 << 20
+
+// within is a number in a range.
+func (r *reader) within(path string, absent, least, most float64) float64 {
+	n := r.num(path, absent)
+	if !(n >= least && n <= most) {
+		r.fail(path, r.pairs[path], fmt.Sprintf("a number from %.0f to %.0f", least, most))
+	}
+	return n
+}
+
 func (r *reader) span(path string) policy.Nanos { return policy.Nanos(r.num(path, 0)) }
 
 func pick[T any](r *reader, path, want string, of map[string]T) T {
@@ -71,7 +83,7 @@
 func TermsOf(pairs Pairs) (policy.Terms, error) {
 	r := &reader{pairs: pairs}
 	t := policy.Terms{
-		Balancers: max(1, int(r.num("balancers", 1))), Zone: policy.Zone(r.num("locality", 0)),
+		Balancers: max(1, int(r.within("balancers", 1, 0, mostBalancers))), Zone: policy.Zone(r.num("locality", 0)),
 		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
 		OriginKind: policy.Kind(r.num("extra.originKind", -1)),
 		MayCancel:  pairs["caps.mayCancel"] == "true",
--- a/internal/upstream/sizes_test.go
+++ b/internal/upstream/sizes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"streamrail/internal/discovery"
@@ -29,6 +30,21 @@
 	}
 }
 
+// A host costs no goroutine before it has a connection.
+func TestNoGoroutineForAHost(t *testing.T) {
+	hs := New(Limits{Pool: pool.Terms{Balancers: 350, Most: 378}}, -1)
+	defer hs.Close()
+	before := runtime.NumGoroutine()
+	var all []discovery.Host
+	for i := range 1025 {
+		all = append(all, discovery.Host{Entry: policy.Entry{Cache: policy.CacheID(fmt.Sprint("s-", i))}, Addr: "127.0.0.1:1"})
+	}
+	hs.Listed(discovery.List{Whole: true, Hosts: all})
+	if n := runtime.NumGoroutine(); n > before {
+		t.Errorf("%d goroutines, %d before", n, before)
+	}
+}
+
 // What passes every tenth of a second though nothing happens.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{16, 200, 1024} {
