Reread: one way to tell words to a module, one loop over sizes, no work for empty answers

Written twice: what the module is told of words was in the shell and in virtual time, each with its own maps (evidence.Tell and Has now serve both); measure limits and measure evidence had one loop (bySize); three liars were alike (lying).

Seen and left: the door's methods begin alike in four lines, each of another type; partners are drawn by a hash beside member's own, which would change who tells whom.

--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -430,9 +430,9 @@
 	case "members":
 		return c.members(ctx, program)
 	case "limits":
-		return c.limits()
+		return bySize(c, measure.LimitsOf)
 	case "evidence":
-		return c.evidence()
+		return bySize(c, measure.EvidenceOf)
 	case "sizes":
 		return c.sizes(ctx, program)
 	}
@@ -455,17 +455,17 @@
 	return nil
 }
 
-// evidence measures what it is worth that balancers tell each other of nodes.
-func (c measureCommand) evidence() error {
-	var all []measure.Evidence
+// bySize measures fleets of each size in virtual time and prints the figures.
+func bySize[T interface{ Text(io.Writer) }](c measureCommand, of func(mates, seeds, lanes int) ([]T, error)) error {
+	var all []T
 	for _, n := range c.Virtual {
-		rows, err := measure.EvidenceOf(n, c.Seeds, runtime.GOMAXPROCS(0))
+		rows, err := of(n, c.Seeds, runtime.GOMAXPROCS(0))
 		if err != nil {
 			return err
 		}
-		for _, e := range rows {
+		for _, r := range rows {
 			if !c.JSON {
-				e.Text(os.Stdout)
+				r.Text(os.Stdout)
 			}
 		}
 		all = append(all, rows...)
@@ -491,27 +491,6 @@
 	return err
 }
 
-// limits measures what parts that move are worth.
-func (c measureCommand) limits() error {
-	var all []measure.Limits
-	for _, n := range c.Virtual {
-		rows, err := measure.LimitsOf(n, c.Seeds, runtime.GOMAXPROCS(0))
-		if err != nil {
-			return err
-		}
-		for _, l := range rows {
-			if !c.JSON {
-				l.Text(os.Stdout)
-			}
-		}
-		all = append(all, rows...)
-	}
-	if c.JSON {
-		return printJSON(all)
-	}
-	return nil
-}
-
 // members measures how balancers see each other.
 func (c measureCommand) members(ctx context.Context, program string) error {
 	var all []measure.Members
--- a/internal/balancer/evidence.go
+++ b/internal/balancer/evidence.go
@@ -93,29 +93,17 @@
 
 // say tells the module what the others say of hosts, and of which they say nothing any more. Each change is a line in the log. Under witnesses.mu.
 func (b *Balancer) say(words []evidence.Word) {
-	w, now := b.witnesses, map[string]bool{}
-	had := map[string]bool{}
-	for _, x := range w.words {
-		had[x.Host] = true
-	}
+	w := b.witnesses
 	for _, x := range words {
-		now[x.Host] = true
-		if !had[x.Host] {
+		if !evidence.Has(w.words, x.Host) {
 			b.log.Info().Str("host", x.Host).Int("witnesses", x.Witnesses).Float64("good", x.Good).Float64("bad", x.Bad).Msg("other balancers call this host bad")
 		}
 	}
 	b.decide(func() {
-		for _, x := range w.words {
-			if !now[x.Host] {
-				b.module.Said(policy.CacheID(x.Host), 0, 0)
-			}
-		}
-		for _, x := range words { // each turn: a host that was started again is another one to the module
-			b.module.Said(policy.CacheID(x.Host), x.Good, x.Bad)
-		}
+		evidence.Tell(w.words, words, func(host string, good, bad float64) { b.module.Said(policy.CacheID(host), good, bad) })
 	})
 	for _, x := range w.words {
-		if !now[x.Host] {
+		if !evidence.Has(words, x.Host) {
 			b.log.Info().Str("host", x.Host).Msg("other balancers do not call this host bad any more")
 		}
 	}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -404,6 +404,10 @@
 
 // keep notes the list as a newer process would take it over. Under source.mu, or before anybody follows.
 func (s *source) keep(l discovery.List) {
+	if !l.Whole && len(l.Hosts) == 0 { // a watch that waited for nothing, every other second
+		s.list.Generation, s.list.Whole = l.Generation, true
+		return
+	}
 	hosts := map[policy.CacheID]discovery.Host{}
 	for _, h := range s.list.Hosts {
 		hosts[h.Cache] = h
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -112,20 +112,21 @@
 // where an entry of a whole list does not even tell its id, it may be that of any host not named. A whole list of a version
 // before the known one is an older state, or another discovery's: it cannot take back that a process leaves; a later change can.
 func (l List) Over(known List) List {
+	older := l.Whole && l.Generation < known.Generation
+	if !older && len(l.Unread) == 0 { // nearly all answers
+		return l
+	}
 	was := make(map[policy.CacheID]Host, len(known.Hosts))
 	for _, h := range known.Hosts {
 		was[h.Cache] = h
 	}
-	if l.Whole && l.Generation < known.Generation {
+	if older {
 		for i, h := range l.Hosts {
 			if o, ok := was[h.Cache]; ok && o.Born == h.Born {
 				l.Hosts[i].Condition = max(h.Condition, o.Condition)
 			}
 		}
 	}
-	if len(l.Unread) == 0 {
-		return l
-	}
 	nameless, worse := false, map[policy.CacheID]policy.Condition{}
 	for _, u := range l.Unread {
 		nameless = nameless || u.Cache == ""
--- a/internal/fleet/evidence/evidence.go
+++ b/internal/fleet/evidence/evidence.go
@@ -51,6 +51,24 @@
 	Witnesses int // who say that it is bad, of those heard
 }
 
+// Has tells whether words, in order, are of a host among others.
+func Has(words []Word, host string) bool {
+	_, has := slices.BinarySearchFunc(words, host, func(w Word, h string) int { return cmp.Compare(w.Host, h) })
+	return has
+}
+
+// Tell says what holds now after other words did: of each turn's, as a host that was started again is another one to the module.
+func Tell(was, now []Word, said func(host string, good, bad float64)) {
+	for _, w := range was {
+		if !Has(now, w.Host) {
+			said(w.Host, 0, 0)
+		}
+	}
+	for _, w := range now {
+		said(w.Host, w.Good, w.Bad)
+	}
+}
+
 // Terms are fixed for a process.
 type Terms struct {
 	Self member.Life
@@ -248,7 +266,7 @@
 		rows = append(rows, Row{host, good, bad})
 	}
 	useful := func(r Row) int {
-		if _, said := slices.BinarySearchFunc(m.words, r.Host, func(w Word, h string) int { return cmp.Compare(w.Host, h) }); said || r.Bad > 0 {
+		if Has(m.words, r.Host) || r.Bad > 0 {
 			return 1
 		}
 		return 0
--- a/internal/rehearsal/measure/evidence.go
+++ b/internal/rehearsal/measure/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"streamrail/internal/fleet/evidence"
@@ -31,7 +32,7 @@
 	by       []float64 // service by seed
 }
 
-// scarceDay is a fleet whose balancers meet a node once in seconds; %s are its faults.
+// scarceDay is a fleet whose balancers meet a node once in seconds.
 const scarceDay = `
 name = "evidence"
 length = "40s"
@@ -55,48 +56,52 @@
 per_s = %.1f
 [client]
 tries = 1
-%s
 `
 
 // evidenceDays are the kinds: a fifth of the nodes fail, hang, or both by turns; or all are well and some balancers lie.
 var evidenceDays = []struct {
 	name   string
-	faults []string // what to do, and from when to when
+	faults []scenario.Fault
 	lie    virtual.Liars
 }{
-	{name: "a fifth of the nodes fail, two groups by turns", faults: []string{"fail 5 14", "fail 20 32"}},
-	{name: "a fifth hang, two groups by turns", faults: []string{"stall 5 14", "stall 20 32"}},
-	{name: "all nodes are well", faults: nil},
-	{name: "all are well, three in eight balancers call a quarter of the nodes bad", lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
-		if b%8 >= 3 {
-			return rows
+	{name: "a fifth of the nodes fail, two groups by turns", faults: byTurns("fail", 1)},
+	{name: "a fifth hang, two groups by turns", faults: byTurns("stall", 0)},
+	{name: "all nodes are well"},
+	{name: "all are well, three in eight balancers call a quarter of the nodes bad", lie: lying(func(i int, r *evidence.Row) {
+		if i%4 == 0 {
+			r.Good, r.Bad = 0, 9
 		}
-		for i, r := range rows {
-			if i%4 == 0 {
-				r.Good, r.Bad = 0, 9
+	})},
+	{name: "all are well, three in eight call all nodes bad", lie: lying(func(_ int, r *evidence.Row) { r.Good, r.Bad = 0, 9 })},
+	{name: "a fifth fail by turns, three in eight call all nodes well", faults: byTurns("fail", 1), lie: lying(func(_ int, r *evidence.Row) { r.Good, r.Bad = 9, 0 })},
+}
+
+// byTurns has a tenth of the nodes, then another tenth, be bad for a while.
+func byTurns(do string, part float64) []scenario.Fault {
+	group := func(k int) (nodes []string) {
+		for i := range scarceNodes / 10 {
+			for _, zone := range []string{"e", "w"} {
+				nodes = append(nodes, fmt.Sprintf("%s-%d", zone, 1+i+k*scarceNodes/10))
 			}
-			lies = append(lies, r)
 		}
-		return lies
-	}},
-	{name: "all are well, three in eight call all nodes bad", lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
-		for _, r := range rows {
-			if b%8 < 3 {
-				r.Good, r.Bad = 0, 9
-			}
-			lies = append(lies, r)
+		return nodes
+	}
+	s := func(n int) scenario.Span { return scenario.Span(time.Duration(n) * time.Second) }
+	return []scenario.Fault{{Do: do, At: s(5), For: s(9), Part: part, Nodes: group(0)}, {Do: do, At: s(20), For: s(12), Part: part, Nodes: group(1)}}
+}
+
+// lying has three balancers in eight change what they tell.
+func lying(change func(i int, r *evidence.Row)) virtual.Liars {
+	return func(b int, rows []evidence.Row) []evidence.Row {
+		if b%8 >= 3 {
+			return rows
 		}
-		return lies
-	}},
-	{name: "a fifth fail by turns, three in eight call all nodes well", faults: []string{"fail 5 14", "fail 20 32"}, lie: func(b int, rows []evidence.Row) (lies []evidence.Row) {
-		for _, r := range rows {
-			if b%8 < 3 {
-				r.Good, r.Bad = 9, 0
-			}
-			lies = append(lies, r)
+		rows = slices.Clone(rows)
+		for i := range rows {
+			change(i, &rows[i])
 		}
-		return lies
-	}},
+		return rows
+	}
 }
 
 // scarcePerS is what a balancer is called a second, and scarceNodes how many nodes a zone has.
@@ -108,38 +113,13 @@
 // EvidenceOf measures all kinds of days with so many balancers, on so many seeds.
 func EvidenceOf(mates, seeds, lanes int) (all []Evidence, err error) {
 	for _, kind := range evidenceDays {
-		faults := ""
-		type span struct {
-			from, to time.Duration
-			nodes    map[string]bool
-		}
-		var bad []span
-		for k, text := range kind.faults {
-			var do string
-			var from, to int
-			fmt.Sscan(text, &do, &from, &to)
-			s, names := span{time.Duration(from) * time.Second, time.Duration(to) * time.Second, map[string]bool{}}, ""
-			for i := range scarceNodes / 10 {
-				for _, zone := range []string{"e", "w"} {
-					n := fmt.Sprintf("%s-%d", zone, 1+i+k*scarceNodes/10)
-					s.nodes[n] = true
-					names += fmt.Sprintf("%q, ", n)
-				}
-			}
-			part := ""
-			if do == "fail" {
-				part = "part = 1.0\n"
-			}
-			faults += fmt.Sprintf("[[fault]]\ndo = %q\nat = \"%ds\"\nfor = \"%ds\"\n%snodes = [%s]\n", do, from, to-from, part, names)
-			bad = append(bad, s)
-		}
 		plays := make([]EvidenceSide, 2*seeds)
 		err := SideBySide(len(plays), lanes, func(i int) error {
-			day, err := scenario.Parse("measure", fmt.Appendf(nil, scarceDay, mates, i%2 == 1, scarceNodes, float64(scarcePerS*mates), faults))
+			day, err := scenario.Parse("measure", fmt.Appendf(nil, scarceDay, mates, i%2 == 1, scarceNodes, float64(scarcePerS*mates)))
 			if err != nil {
 				return err
 			}
-			day.Seed = uint64(i/2 + 1)
+			day.Seed, day.Faults = uint64(i/2+1), kind.faults
 			res, err := virtual.PlayLying(day, kind.lie)
 			if err != nil {
 				return err
@@ -150,8 +130,8 @@
 				if s.Server != record.Gateway && s.Proof != record.WasServed && s.Proof != record.Missed {
 					p.Vain++
 				}
-				for _, b := range bad {
-					if b.nodes[s.Server] && s.Came >= b.from && s.Came < b.to {
+				for _, f := range kind.faults {
+					if slices.Contains(f.Nodes, s.Server) && s.Came >= f.At.D() && s.Came < (f.At+f.For).D() {
 						p.AtBad++
 					}
 				}
--- a/internal/rehearsal/measure/sizes.go
+++ b/internal/rehearsal/measure/sizes.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
 	"streamrail/internal/rehearsal/runner"
@@ -103,27 +102,12 @@
 	}
 	time.Sleep(time.Until(began.Add((turns + 2) * turnsIn)))
 	u := in.Usage()
-	s.MB, s.Descriptors = u.MB, u.Sockets
-	if p, ok := in.(interface{ Pid() int }); ok {
-		s.Threads = threads(p.Pid())
-	}
+	s.MB, s.Descriptors, s.Threads = u.MB, u.Sockets, u.Threads
 	return s, nil
 }
 
 const readyWithin = 10 * time.Second
 
-// threads reads the system's count; 0 where it is not told.
-func threads(pid int) int {
-	text, _ := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
-	for line := range strings.Lines(string(text)) {
-		if v, ok := strings.CutPrefix(line, "Threads:"); ok {
-			n, _ := strconv.Atoi(strings.TrimSpace(v))
-			return n
-		}
-	}
-	return 0
-}
-
 // changing is a register of which half is replaced by other hosts every so often, so many times.
 type changing struct {
 	hosts int
--- a/internal/rehearsal/runner/process.go
+++ b/internal/rehearsal/runner/process.go
@@ -26,6 +26,7 @@
 type Usage struct {
 	MB      float64
 	Sockets int
+	Threads int
 	CPU     time.Duration
 }
 
@@ -81,9 +82,8 @@
 	done chan struct{}
 }
 
-func (p *process) Pid() int { return p.cmd.Process.Pid }
-func (p *process) Kill()    { p.cmd.Process.Kill() }
-func (p *process) Term()    { p.cmd.Process.Signal(syscall.SIGTERM) }
+func (p *process) Kill() { p.cmd.Process.Kill() }
+func (p *process) Term() { p.cmd.Process.Signal(syscall.SIGTERM) }
 
 // Pause makes the process stand still, or go on.
 func (p *process) Pause(on bool) {
@@ -116,12 +116,13 @@
 		u.Sockets = len(fds)
 	}
 	if text, err := os.ReadFile(filepath.Join(dir, "stat")); err == nil {
-		// The name, in brackets, may hold blanks; the 12th and 13th fields behind it are user and system ticks.
+		// The name, in brackets, may hold blanks; the 12th and 13th fields behind it are user and system ticks, the 18th counts threads.
 		_, rest, _ := strings.Cut(string(text), ") ")
-		if f := strings.Fields(rest); len(f) > 12 {
+		if f := strings.Fields(rest); len(f) > 17 {
 			user, _ := strconv.Atoi(f[11])
 			system, _ := strconv.Atoi(f[12])
 			u.CPU = time.Duration(user+system) * tick
+			u.Threads, _ = strconv.Atoi(f[17])
 		}
 	}
 	return u
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -28,7 +28,7 @@
 	round int
 	until time.Duration     // it stands still until then
 	seen  *evidence.Machine // nil: none yet
-	said  map[string]bool   // nodes that others call bad
+	words []evidence.Word   // that the module has heard
 }
 
 // awake lets the process that runs now do something: at once, or when it goes on after it stood still. Where it has ended by
@@ -92,7 +92,7 @@
 	}
 	b.lives++
 	b.until = 0
-	b.calls, b.up, b.after, b.seen, b.said = map[policy.CallID]*call{}, map[string]bool{}, 0, nil, nil
+	b.calls, b.up, b.after, b.seen, b.words = map[policy.CallID]*call{}, map[string]bool{}, 0, nil, nil
 	b.life = record.Life{Balancer: b.index, Start: b.d.now, Ready: max(1, b.d.now)}
 	seed := model.Stream(b.d.Seed, fmt.Sprint("balancer ", b.index, b.lives)).Uint64()
 	b.mod = policy.New(host{b, b.lives}, b.d.terms(b.zone), seed)
--- a/internal/rehearsal/virtual/evidence.go
+++ b/internal/rehearsal/virtual/evidence.go
@@ -78,17 +78,9 @@
 			}
 		})
 	}
-	said := map[string]bool{}
-	for _, w := range b.seen.Words() {
-		said[w.Host] = true
-		b.mod.Said(policy.CacheID(w.Host), w.Good, w.Bad)
-	}
-	for host := range b.said {
-		if !said[host] {
-			b.mod.Said(policy.CacheID(host), 0, 0)
-		}
-	}
-	b.said = said
+	words := b.seen.Words()
+	evidence.Tell(b.words, words, func(host string, good, bad float64) { b.mod.Said(policy.CacheID(host), good, bad) })
+	b.words = words
 }
 
 // apart tells whether a cut lies between two balancers now.
