--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run try rehearse measure
+.PHONY: build test race lint run try rehearse measure sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -28,3 +28,8 @@
 # How far the load generator goes on this machine, and what a balancer adds to an API call; some minutes.
 measure: build
 	bin/rehearse measure
+
+# The deployments in deploy/sites need files of the operators' bench beside them: make sites FROM=folder lays them there.
+sites:
+	@test -n "$(FROM)" || { echo "make sites FROM=folder, the one that has real.json, wire.json and unlock.txt" >&2; exit 2; }
+	cp $(FROM)/real.json $(FROM)/wire.json $(FROM)/unlock.txt deploy/sites/
