Hear clients that leave wherever their reader waits; end no connection by a reset

Who has left is looked at before every order of the module, and an attempt decided just before ends as never sent. The last look asks the system once, without any wait. What has come by the time the answers in hand are written is taken too while draining. Out of time: readers end first, so nothing that is read after the end is sent on. A half-close counts as going: nothing that comes tells the two apart.

Ruled out: an attempt that waits in the pool or for a late connect was given up before too, once the end was heard.

--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -228,6 +228,16 @@
 	}
 }
 
+// endAll ends all connections once what is in hand is answered: there is no time left to read on.
+func (cs *clients) endAll() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.all {
+		c.over.Store(true)
+		c.wake()
+	}
+}
+
 // accept takes connections until the listener closes. A lack of descriptors passes: it is waited out.
 func (b *Balancer) accept(listener net.Listener) {
 	defer b.clients.close()
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -76,6 +76,10 @@
 	})
 	gone := c.client.gone
 	for {
+		if gone != nil && c.client.hasLeft() { // before any order: nothing is begun for who has left
+			gone = nil
+			b.abandon(c)
+		}
 		orders, settled := b.ordersFor(c)
 		for _, o := range orders {
 			o.do(c, o)
@@ -100,21 +104,24 @@
 				c.fulfil(e.Body)
 			}
 		case <-gone:
-			gone = nil
-			b.decide(func() {
-				if !c.settled {
-					c.settled = true
-					b.module.Abandoned(c.id)
-					b.tally.abandoned.Add(1)
-					b.figures.inHand.Add(-1)
-					close(c.answered)
-				}
-			})
 		case <-c.nudge:
 		}
 	}
 }
 
+// abandon ends an API call whose client has gone away.
+func (b *Balancer) abandon(c *call) {
+	b.decide(func() {
+		if !c.settled {
+			c.settled = true
+			b.module.Abandoned(c.id)
+			b.tally.abandoned.Add(1)
+			b.figures.inHand.Add(-1)
+			close(c.answered)
+		}
+	})
+}
+
 // start has a goroutine live a call: one that is done with another, whose stack has grown to what a call needs, else a
 // new one.
 func (b *Balancer) start(c *call) {
--- /dev/null
+++ b/internal/balancer/ends_test.go
@@ -0,0 +1,201 @@
+package balancer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"streamrail/internal/deployment"
+	"streamrail/internal/discovery"
+	"streamrail/internal/operator"
+	"streamrail/policy"
+)
+
+// patience bounds every wait; none of them decides a verdict unless something never comes.
+const patience = 10 * time.Second
+
+// crossing is a balancer on loopback sockets whose connections to some hosts come up when the test says so.
+type crossing struct {
+	*testing.T
+	*Balancer
+	addr string
+	mu   sync.Mutex
+	up   map[string]chan struct{} // by host: closed when connections to it may come up
+	wait map[string]chan struct{} // by host: one for each that is being opened
+	came map[string][]string      // by host: the lines that have begun to come
+	said chan string              // each of these lines, behind the host's name
+}
+
+// crossed has a host of each name; answers[name] is what it says, with the request's id for %s. Hosts in late are held up.
+func crossed(t *testing.T, effect policy.Effect, window policy.Nanos, answers map[string]string, late ...string) *crossing {
+	x := &crossing{T: t, up: map[string]chan struct{}{}, wait: map[string]chan struct{}{}, came: map[string][]string{}, said: make(chan string, 1000)}
+	terms := policy.ProductTerms{LatencySLO: 5 * policy.Second, BilledValue: 1, Effect: effect, Window: window}
+	read := terms
+	read.Effect = policy.Idempotent
+	told := &deployment.Deployment{Name: "n", Sockets: 1024, MemoryMB: 192, DrainGrace: time.Second, ConnectTimeout: patience, IdleLimit: time.Minute,
+		ClientTimeout: 3 * time.Second, MostOpen: 1000, Zones: map[string]policy.Zone{"here": 0}, Kinds: map[string]policy.Kind{"cache": 0},
+		Products: map[string]policy.Product{"pay": 0, "read": 1},
+		Terms:    policy.Terms{Balancers: 1, Products: []policy.ProductTerms{terms, read}, OriginKind: -1, MayCancel: true, MostShots: 4, Tick: policy.Millisecond}}
+	x.Balancer = New(told, &operator.File{}, zerolog.Nop())
+	names := map[string]string{}
+	l := discovery.List{Whole: true}
+	for name, answer := range answers {
+		at, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { at.Close() })
+		names[at.Addr().String()] = name
+		go x.host(at, name, answer)
+		l.Hosts = append(l.Hosts, discovery.Host{Addr: at.Addr().String(), Entry: policy.Entry{Cache: policy.CacheID(name), Size: 1}})
+	}
+	for _, name := range late {
+		x.up[name], x.wait[name] = make(chan struct{}), make(chan struct{}, 1000)
+	}
+	x.hosts.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if up := x.up[names[addr]]; up != nil {
+			x.wait[names[addr]] <- struct{}{}
+			select {
+			case <-up:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+	x.listed(policy.ListRestored, l)
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.addr = at.Addr().String()
+	x.phase.Store(int32(Serving))
+	go x.accept(at)
+	t.Cleanup(func() { at.Close(); x.hosts.Close(); x.end() })
+	return x
+}
+
+func (x *crossing) host(at net.Listener, name, answer string) {
+	for {
+		c, err := at.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for {
+				line, err := in.ReadString('\n')
+				if err != nil {
+					return
+				}
+				x.mu.Lock()
+				x.came[name] = append(x.came[name], line)
+				x.mu.Unlock()
+				x.said <- name + " " + line
+				w := strings.Fields(line)
+				if n := 0; w[0] == "ms" {
+					fmt.Sscan(w[2], &n)
+					if _, err := io.CopyN(io.Discard, in, int64(n)+2); err != nil {
+						return
+					}
+				}
+				id := ""
+				for _, f := range w {
+					if f[0] == 'O' {
+						id = f[1:]
+					}
+				}
+				if answer != "" {
+					io.WriteString(c, strings.ReplaceAll(answer, "%s", id))
+				}
+			}
+		}()
+	}
+}
+
+func (x *crossing) dial() (*net.TCPConn, *bufio.Reader) {
+	c, err := net.Dial("tcp", x.addr)
+	if err != nil {
+		x.Fatal(err)
+	}
+	x.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c.(*net.TCPConn), bufio.NewReader(c)
+}
+
+func (x *crossing) ask(request, want string) {
+	x.Helper()
+	c, in := x.dial()
+	io.WriteString(c, request)
+	if got, err := in.ReadString('\n'); !strings.HasPrefix(got, want) {
+		x.Errorf("%.40q: got %q, %v, expected %q", request, got, err, want)
+	}
+}
+
+func soon[T any](t *testing.T, from <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatal("never came: " + what)
+	}
+	return v
+}
+
+// until waits for something that nothing tells of.
+func (x *crossing) until(what string, holds func() bool) {
+	x.Helper()
+	for began := time.Now(); !holds(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > patience {
+			x.Fatal("never: " + what)
+		}
+	}
+}
+
+const receipt = "HD O%s cdone\r\n"
+
+// A client that goes away while its request waits for a connection to a host: when that comes up late, not a byte is sent.
+func TestClientGoneBeforeTheConnect(t *testing.T) {
+	leavings := map[string]func(c *net.TCPConn){
+		"closes":       func(c *net.TCPConn) { c.Close() },
+		"resets":       func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"ends sending": func(c *net.TCPConn) { c.CloseWrite() },
+	}
+	for name, request := range map[string]string{
+		"a read":                  "mg k v Oa Pc=read,d=9000\r\n",
+		"a write":                 "ms k 5 Oa Pc=pay,d=9000\r\nhello\r\n",
+		"half of a long write":    "ms k 1000000 Oa Pc=pay,d=9000\r\n" + strings.Repeat("w", 500000),
+		"a long write":            "ms k 200000 Oa Pc=pay,d=9000\r\n" + strings.Repeat("w", 200000) + "\r\n",
+		"the beginning of one":    "ms k 1000000 Oa Pc=pay,d=9000\r\n",
+		"a read, a probe behind":  "mg k v Oa Pc=read,d=9000\r\nmn\r\n",
+		"a read, 300 more behind": strings.Repeat("mg k v Oa Pc=read,d=9000\r\n", 300),
+	} {
+		for how, leave := range leavings {
+			t.Run(name+", "+how, func(t *testing.T) {
+				t.Parallel()
+				x := crossed(t, policy.NonIdempotent, 0, map[string]string{"late": receipt}, "late")
+				c, _ := x.dial()
+				io.WriteString(c, request)
+				soon(t, x.wait["late"], "the connect")
+				leave(c)
+				x.until("given up", func() bool { return x.open.Load() == 0 })
+				close(x.up["late"])
+				x.ask("ms k 5 Olast Pc=pay,d=9000\r\nhello\r\n", "HD Olast") // over a connection that comes up late
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				if len(x.came["late"]) != 1 {
+					t.Errorf("sent: %q", x.came["late"])
+				}
+			})
+		}
+	}
+}
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -50,7 +50,7 @@
 	toEnd     = 500 * time.Millisecond
 	beyond    = 400 * time.Millisecond
 	longest   = 3 * time.Second
-	lastWords = 200 * time.Millisecond // for the answers that are left then
+	lastWords = lingers + 50*time.Millisecond // for the answers that are left then, and for the clients to hear of the end
 )
 
 // Run takes the balancer through its phases and returns when it has stopped.
@@ -147,6 +147,7 @@
 		case <-b.clients.none:
 			return
 		case <-end:
+			b.clients.endAll()
 			b.log.Warn().Int("left", b.abandonAll()).Msg("out of time while draining")
 			select {
 			case <-b.clients.none:
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,10 @@
 	outOfRoom atomic.Bool   // it makes room for others
 	seated    bool          // it is served; under the mu of clients
 	counted   bool          // among the proven; the same
+	ahead     ahead         // read while the reader waited for something else
+	over      atomic.Bool   // no further command is taken
 	gone      chan struct{} // closed when the client has gone away
+	goneOnce  sync.Once
 	last      chan struct{} // closed when the last command is answered
 	behind    chan struct{} // holds one for each API call in hand
 }
@@ -38,8 +42,7 @@
 const (
 	commandWait = 2500 * time.Millisecond // for the whole of a command
 	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
-	lastLook    = time.Millisecond
-	mostBehind  = 32 // API calls of one connection in hand
+	mostBehind  = 32                      // API calls of one connection in hand
 )
 
 func newClient(conn net.Conn) *client {
@@ -58,12 +61,16 @@
 }
 
 // wake ends the wait for the next command. A command that has begun to come is still read.
-func (c *client) wake() { c.net.SetReadDeadline(time.Unix(1, 0)) }
+func (c *client) wake() { c.net.SetReadDeadline(longAgo) }
 
 // Read notes the time, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
-	n, err := c.net.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && !c.outOfRoom.Load() && time.Now().Before(c.due) {
+	n, none, err := c.ahead.take(p)
+	if !none {
+		return n, err
+	}
+	n, err = c.net.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && !c.outOfRoom.Load() && !c.over.Load() && time.Now().Before(c.due) {
 		c.net.SetReadDeadline(c.due)
 		n, err = c.net.Read(p)
 	}
@@ -93,35 +100,56 @@
 // awaits sets how long the next command may take to come.
 func (c *client) awaits(p Phase) { c.net.SetReadDeadline(c.until(p)) }
 
-// over tells that the wait for the next command is over, not that an answer took long.
-func (c *client) over() bool { return c.outOfRoom.Load() || !time.Now().Before(c.until(Serving)) }
+// waited tells that the wait for the next command is over, not that an answer took long.
+func (c *client) waited() bool { return c.outOfRoom.Load() || !time.Now().Before(c.until(Serving)) }
 
 // serve reads the commands of one connection. Each API call lives in a goroutine of its own, so that this one
 // hears when the client goes away.
 func (b *Balancer) serve(c *client) {
 	defer b.clients.leave(c)
-	defer c.net.Close()
-	for b.command(c) && b.in() <= Leaving {
+	c.ahead.room = func(bytes int) bool {
+		if b.held.Add(int64(bytes)) > b.mostHeld.Load() && bytes > 0 {
+			b.held.Add(-int64(bytes))
+			return false
+		}
+		return true
+	}
+	defer c.ahead.drop()
+	for {
+		for b.command(c) && b.in() <= Leaving {
+		}
+		c.awaitAnswered() // what is in hand first; the answers to a client that has gone are not waited for
+		if c.over.Load() || c.hasLeft() || !c.look() {
+			break // else what has come meanwhile is taken too
+		}
 	}
-	<-c.last // what is in hand is answered first; the answers to a client that has gone are not waited for
+	c.finish()
 }
 
-// command takes the next command; false where none can follow it.
+// command takes the next command; false where none follows it for now, or ever.
 func (b *Balancer) command(c *client) bool {
+	if c.hasLeft() { // what it left behind is not begun
+		return c.end()
+	}
 	c.within.Store(false)
 	c.awaits(b.in())
 	c.rests() // after that: who wakes a connection at rest must not be overruled
 	if b.in() >= Draining {
 		c.awaits(Draining)
 	}
+	if c.over.Load() {
+		return c.end()
+	}
 	_, err := c.in.Peek(1)
-	for errors.Is(err, os.ErrDeadlineExceeded) && b.in() <= Leaving && !c.over() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && b.in() <= Leaving && !c.waited() && !c.over.Load() {
 		c.awaits(Serving)
 		_, err = c.in.Peek(1)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// Woken without a look at what has come: closing now would lose an API call that the machine has taken.
-		c.net.SetReadDeadline(time.Now().Add(lastLook))
+		if c.over.Load() || !c.look() {
+			return c.end()
+		}
 		_, err = c.in.Peek(1)
 	}
 	if err != nil {
@@ -147,7 +175,7 @@
 	cmd, fault := memcache.Parse(append(call.line[:0], line...))
 	switch {
 	case fault == memcache.Quit:
-		return false
+		return c.end()
 	case fault != nil && fault.Lost:
 		return c.part(fault.Line())
 	case cmd.Noop && b.in() == Serving:
@@ -184,6 +212,10 @@
 		}
 		call.arrived = c.lastRead()
 	}
+	if c.over.Load() && !long { // ended while this was read: nothing is sent on any more
+		c.say(string(memcache.AppendRateLimited(nil, 0)))
+		return c.end()
+	}
 	if fault == nil {
 		fault = b.place(call)
 	}
@@ -205,7 +237,11 @@
 	b.figures.inHand.Add(1)
 	call.turn, call.answered = c.last, make(chan struct{})
 	c.last = call.answered
-	c.behind <- struct{}{}
+	select {
+	case c.behind <- struct{}{}:
+	default:
+		c.listen(func() { c.behind <- struct{}{} })
+	}
 	b.start(call)
 	if long {
 		return call.upload.rest()
@@ -264,28 +300,28 @@
 // lost ends the connection. A client that has closed it has gone away, and with it what it asked for.
 func (c *client) lost(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		close(c.gone)
+		c.ahead.end = err
+		c.leaves()
 	}
+	return c.end()
+}
+
+// end says that no further command is taken.
+func (c *client) end() bool {
+	c.over.Store(true)
 	return false
 }
 
 // say answers a command that is no API call, in its turn.
 func (c *client) say(text string) bool {
-	<-c.last
+	c.awaitAnswered()
 	c.net.SetWriteDeadline(time.Now().Add(replyWait))
 	_, err := io.WriteString(c.net, text)
 	return err == nil
 }
 
-// part says a last word where the next command cannot be made out. What still comes is passed over for a
-// moment: closing with it unread would reset the connection and could take the word back.
+// part says a last word where the next command cannot be made out.
 func (c *client) part(text string) bool {
-	if c.say(text) {
-		if t, ok := c.net.(*net.TCPConn); ok {
-			t.CloseWrite()
-		}
-		c.net.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-		io.CopyN(io.Discard, c.net, 1<<20)
-	}
-	return false
+	c.say(text)
+	return c.end()
 }
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -41,7 +41,7 @@
 	c.client.net.SetWriteDeadline(time.Now().Add(replyWait))
 	buffers := net.Buffers(parts)
 	if _, err := buffers.WriteTo(c.client.net); err != nil {
-		c.client.net.Close() // the client can tell that the answer is not whole
+		c.client.cut()
 		return
 	}
 	c.b.figures.answered(c.product, as)
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/shoot.go
@@ -18,6 +18,9 @@
 	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent) - r.Peer} }
 	c.shots = append(c.shots, s)
 	c.out++
+	if c.client.hasLeft() { // since this was decided
+		s.GiveUp()
+	}
 	c.b.hosts.Shoot(s)
 }
 
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"streamrail/internal/memcache"
@@ -41,7 +42,7 @@
 		}
 	}
 	if err != nil {
-		c.client.net.Close()
+		c.client.cut()
 		return false
 	}
 	c.b.tally.fulfilled.Add(1)
@@ -52,9 +53,12 @@
 // upload is a long value that a client writes. Its reader is the shot that takes it; what no shot takes is passed over.
 type upload struct {
 	upstream.Upload
-	call *call
-	left int // bytes that have not been read
-	end  error
+	call    *call
+	left    int // bytes that have not been read
+	end     error
+	wanted  chan struct{} // closed when the value is to be read
+	free    chan struct{} // closed when nobody else reads the connection
+	reading sync.Once
 }
 
 // uploadMost is how long a client may take to write a value, beyond its time for the answer. Slow ones take some seconds;
@@ -64,7 +68,7 @@
 var errBadChunk = errors.New("no line end behind the value")
 
 func newUpload(c *call) *upload {
-	u := &upload{call: c, left: c.Length}
+	u := &upload{call: c, left: c.Length, wanted: make(chan struct{}), free: make(chan struct{})}
 	u.Length, u.In, u.Ended = c.Length, u, make(chan struct{})
 	u.Left = func() time.Duration { return c.Left - wayBack }
 	return u
@@ -72,6 +76,10 @@
 
 // Read gives the last byte only once the line end behind the value has come whole: until then it must not run.
 func (u *upload) Read(p []byte) (n int, err error) {
+	u.reading.Do(func() {
+		close(u.wanted)
+		<-u.free
+	})
 	in := u.call.client.in
 	u.call.client.patient()
 	if u.left > 1 {
@@ -106,6 +114,14 @@
 // be made out.
 func (u *upload) rest() bool {
 	c := u.call.client
+	c.listen(func() { // while the value waits for a connection to a host, its client may leave
+		select {
+		case <-u.wanted:
+		case <-u.Ended:
+		case <-u.call.answered:
+		}
+	})
+	close(u.free)
 	select {
 	case <-u.Ended:
 	case <-u.call.answered:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,7 +36,7 @@
 // run dials and carries shots until the connection ends.
 func (c *conn) run(ctx context.Context) {
 	hs := c.hosts
-	net, err := hs.dial(ctx, "tcp", c.addr)
+	net, err := hs.Dial(ctx, "tcp", c.addr)
 	c.cancel()
 	hs.mu.Lock()
 	switch {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,7 +94,7 @@
 	limits Limits
 	origin policy.Kind
 	epoch  time.Time
-	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // set before the first shot, if at all
 
 	mu    sync.Mutex
 	pool  *pool.Pool
@@ -118,7 +118,7 @@
 
 // New makes an empty set; the origin is what discovery lists with that kind.
 func New(limits Limits, origin policy.Kind) *Hosts {
-	hs := &Hosts{limits: limits, origin: origin, epoch: time.Now(), dial: (&net.Dialer{}).DialContext, all: map[policy.CacheID]*host{}, conns: map[pool.Conn]*conn{},
+	hs := &Hosts{limits: limits, origin: origin, epoch: time.Now(), Dial: (&net.Dialer{}).DialContext, all: map[policy.CacheID]*host{}, conns: map[pool.Conn]*conn{},
 		shots: map[pool.Shot]*Shot{}, out: map[policy.CacheID]bool{}, over: make(chan struct{})}
 	hs.pool = pool.New(orders{hs}, limits.Pool, rand.Float64)
 	go hs.tick()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -133,8 +133,8 @@
 	limits := wide
 	limits.Grace = 0
 	hs, entry, conns := stand(t, limits)
-	real, hold := hs.dial, make(chan struct{})
-	hs.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	real, hold := hs.Dial, make(chan struct{})
+	hs.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		<-hold
 		return real(ctx, network, addr)
 	}
@@ -198,8 +198,8 @@
 func TestClosedAsHanded(t *testing.T) {
 	hs, _, conns := stand(t, wide)
 	w := &rested{cut{room: 1 << 20}, make(chan string, 1)}
-	real := hs.dial
-	hs.dial = func(context.Context, string, string) (net.Conn, error) { return w, nil }
+	real := hs.Dial
+	hs.Dial = func(context.Context, string, string) (net.Conn, error) { return w, nil }
 	first, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
 	w.answers <- "EN O1\r\n"
 	hs.Shoot(first)
@@ -207,7 +207,7 @@
 	second, ended := shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
 	atRest(t, hs, 1)
 	hs.mu.Lock()
-	hs.dial = real
+	hs.Dial = real
 	hs.mu.Unlock()
 	hs.Shoot(second)
 	close(w.answers)
