Begin a repeat only within its hosts' window; ask discovery again within five seconds

Host.Send now tells how long an attempt may take to begin; the pool refuses it then, and the connection looks at the clock once more before the first byte. It ends as never sent, and the request as errored. A read past its time is not written either. The module's stage checks the same for every attempt it plays. - policy.followAgain waited up to askEvery (10 s) from the second failure on, while news counts as told 6 s after discovery can be reached. Now any moment within five seconds, after a start too.

--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -48,6 +48,8 @@
 	to   policy.CacheID
 	shot int
 	time policy.Nanos
+	// begin is how long an attempt may take to begin: connecting and waiting for a connection take time after the decision.
+	begin policy.Nanos
 }
 
 // wayBack is kept of the client's time for the answer to reach it.
@@ -205,8 +207,8 @@
 
 func (h host) Now() policy.Nanos { return h.b.now }
 
-func (h host) Send(id policy.CallID, to policy.CacheID, timeout policy.Nanos) {
-	h.note(id, order{do: (*call).shoot, to: to, time: timeout}, false)
+func (h host) Send(id policy.CallID, to policy.CacheID, timeout, begin policy.Nanos) {
+	h.note(id, order{do: (*call).shoot, to: to, time: timeout, begin: begin}, false)
 }
 
 func (h host) Cancel(id policy.CallID, shot int) {
--- a/internal/balancer/ends_test.go
+++ b/internal/balancer/ends_test.go
@@ -199,3 +199,75 @@
 		}
 	}
 }
+
+// A repeat of work that may have run must begin while the hosts still know it: where its connection comes up later it is not
+// sent, and nothing is promised.
+func TestWindowOverBeforeTheConnect(t *testing.T) {
+	for name, row := range map[string]struct {
+		effect policy.Effect
+		window policy.Nanos
+		again  bool
+	}{
+		"over":       {policy.Deduplicated, 200 * policy.Millisecond, false},
+		"not over":   {policy.Deduplicated, 60 * policy.Second, true},
+		"idempotent": {policy.Idempotent, 200 * policy.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := crossed(t, row.effect, row.window, map[string]string{"fails": "SERVER_ERROR failed\r\n", "late": receipt}, "late")
+			for i := range 40 { // half of the keys' homes are at the host that fails
+				id := fmt.Sprint("w", i)
+				c, in := x.dial()
+				fmt.Fprintf(c, "ms %d-key 5 O%s Pc=pay,d=8000,k=1\r\nhello\r\n", i, id)
+				before := time.Now()
+				for first := ""; ; {
+					select {
+					case first = <-x.said:
+					case <-x.wait["late"]:
+					case <-time.After(patience):
+						t.Fatal("the request goes nowhere")
+					}
+					if strings.HasPrefix(first, "fails") { // the next attempt is for the late one
+						soon(t, x.wait["late"], "the connect of the further attempt")
+						break
+					} else if first == "" {
+						break
+					}
+				}
+				x.mu.Lock()
+				failed := len(x.came["fails"]) > 0
+				x.mu.Unlock()
+				if !failed {
+					c.Close()
+					continue
+				}
+				if !row.again { // the answer comes when the window is over, the client timeout is far
+					got, _ := in.ReadString('\n')
+					if took := time.Since(before); got != "SERVER_ERROR failed\r\n" || took > 4*time.Second {
+						t.Errorf("got %q after %v", got, took)
+					}
+				}
+				close(x.up["late"])
+				if row.again {
+					if got, _ := in.ReadString('\n'); got != "HD O"+id+" cdone\r\n" {
+						t.Errorf("got %q", got)
+					}
+				}
+				x.ask("mg other v Olast Pc=read,d=8000\r\n", "")
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				n := 0
+				for _, line := range x.came["late"] {
+					if strings.Contains(line, " O"+id+" ") {
+						n++
+					}
+				}
+				if (n == 1) != row.again {
+					t.Errorf("%d attempts over the late connection", n)
+				}
+				return
+			}
+			t.Fatal("no key's home is the host that fails")
+		})
+	}
+}
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/shoot.go
@@ -9,7 +9,8 @@
 // shoot starts a shot; how it ends comes back through c.ended.
 func (c *call) shoot(o order) {
 	n, sent := len(c.shots), time.Now()
-	s := &upstream.Shot{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time))}
+	s := &upstream.Shot{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time)),
+		Begin: sent.Add(time.Duration(o.begin))}
 	s.Room = c.hold
 	s.Pass = c.pass
 	if c.upload != nil {
--- a/internal/benchwire/link.go
+++ b/internal/benchwire/link.go
@@ -174,7 +174,7 @@
 func whole(n policy.Nanos) string { return strconv.FormatInt(int64(n), 10) }
 
 func (in *instance) Now() policy.Nanos { return in.link.now }
-func (in *instance) Send(c policy.CallID, to policy.CacheID, timeout policy.Nanos) {
+func (in *instance) Send(c policy.CallID, to policy.CacheID, timeout, _ policy.Nanos) {
 	in.write("FORWARD", string(c), string(to), whole(timeout))
 }
 func (in *instance) Cancel(c policy.CallID, shot int) {
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -279,7 +279,7 @@
 	})
 }
 
-func (h host) Send(id policy.CallID, to policy.CacheID, timeout policy.Nanos) {
+func (h host) Send(id policy.CallID, to policy.CacheID, timeout, _ policy.Nanos) {
 	b, d := h.b, h.b.d
 	c := b.calls[id]
 	if c == nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -87,12 +87,12 @@
 // the connection can be kept.
 func (c *conn) carry(s *Shot) (r Result, written, keep bool) {
 	// The order may have waited for the connection: what is over, or drained by now, is not written any more.
-	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) {
+	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) || !time.Now().Before(s.Begin) {
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	c.net.SetReadDeadline(s.Until)
 	if len(s.Value) > fits {
-		c.net.SetWriteDeadline(s.Until)
+		c.net.SetWriteDeadline(s.Begin) // what is not whole by then is not to be
 		defer c.net.SetWriteDeadline(time.Time{})
 	}
 	if s.Upload != nil && !s.Upload.Take() { // another shot has had the value
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -31,6 +31,7 @@
 	Value   []byte  // of a write
 	Upload  *Upload // the same, where it is long and still coming
 	Until   time.Time
+	Begin   time.Time                 // not a byte of it is written from then on
 	Room    func(bytes int) bool      // is asked before a value is held
 	Pass    func(*Value) (whole bool) // takes a long value to its end, or not; it may block
 	Done    func(Result)
@@ -242,7 +243,7 @@
 		return
 	}
 	hs.shots[s.id] = s
-	hs.pool.Ask(hs.now(), pool.Host(s.To), s.id, policy.Nanos(s.Until.Sub(hs.epoch)))
+	hs.pool.Ask(hs.now(), pool.Host(s.To), s.id, policy.Nanos(s.Begin.Sub(hs.epoch)))
 }
 
 // giveUp takes a shot from those that wait; false where it does not.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(fault)
 	}
 	ended := make(chan Result, 2)
-	return &Shot{To: "h", Command: &cmd, Value: []byte(value), Until: time.Now().Add(until),
+	return &Shot{To: "h", Command: &cmd, Value: []byte(value), Until: time.Now().Add(until), Begin: time.Now().Add(until),
 		Room: func(n int) bool { return n < 1<<19 }, Done: func(r Result) { ended <- r }}, ended
 }
 
--- a/policy/discovery_test.go
+++ b/policy/discovery_test.go
@@ -61,10 +61,10 @@
 	a.later(a.free, func() { a.got++; a.b.Listed(ListUpdate, nil) })
 }
 
-func (a *asker) Send(CallID, CacheID, Nanos) {}
-func (a *asker) Cancel(CallID, int)          {}
-func (a *asker) RateLimit(CallID, Nanos)     {}
-func (a *asker) Error(CallID)                {}
+func (a *asker) Send(CallID, CacheID, Nanos, Nanos) {}
+func (a *asker) Cancel(CallID, int)                 {}
+func (a *asker) RateLimit(CallID, Nanos)            {}
+func (a *asker) Error(CallID)                       {}
 
 // A release starts most balancers at once. All of them calling discovery together, and again as soon as that failed,
 // kept it at work for callers who had gone: in 25 s nine of 80 got it. Alone a balancer must not wait long either.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,7 +170,18 @@
 	}
 	c.shots = append(c.shots, shot{at: to, sent: now, out: true, well: to.well})
 	c.out++
-	b.host.Send(c.ID, to.Cache, max(1, c.Left-(now-c.began)))
+	left := max(1, c.Left-(now-c.began))
+	b.host.Send(c.ID, to.Cache, left, b.begins(c, left))
+}
+
+// begins is how long an attempt may take to begin: a repeat is dropped only within the window of what it repeats.
+func (b *Balancer) begins(c *call, left Nanos) Nanos {
+	for _, s := range c.shots {
+		if s.ran && c.terms.Effect == Deduplicated {
+			left = min(left, s.sent+c.terms.Window-b.host.Now())
+		}
+	}
+	return left
 }
 
 // Ended takes the outcome of a shot.
@@ -310,12 +321,7 @@
 		b.host.Subscribe()
 		return
 	}
-	c := b.calls[CallID(id[1:])]
-	if c == nil || c.over {
-		return
-	}
-	switch {
-	case id[0] == 'e' && !c.stream:
+	if c := b.calls[CallID(id[1:])]; c != nil && !c.over && !c.stream {
 		b.giveUp(c)
 	}
 }
@@ -814,12 +820,11 @@
 func (b *Balancer) Listed(kind ListKind, entries []Entry) {
 	switch kind {
 	case ListUnavailable:
-		b.followAgain()
+		b.follow(false)
 		return
 	case ListRestored:
-		b.followFirst(len(entries) > 0)
+		b.follow(len(entries) == 0)
 	}
-	b.backoff = 0
 	named := map[CacheID]bool{}
 	changed, origin := kind != ListUpdate, b.origin
 	if b.unit == 0 {
@@ -915,32 +920,24 @@
 	}
 }
 
-// followFirst asks for the list at a start. With one from before it can wait: a release starts most balancers
-// at once, and all their calls together held discovery up for so long that none was answered in time. At any
-// size it takes a call from each in AskEvery, the time from which one who never asks counts as told; half of
-// that is used.
-func (b *Balancer) followFirst(known bool) {
-	if !b.terms.MustSubscribe {
+// follow asks for the list, at a start or after a call for it that failed, at once or within againWithin. With a
+// list from before a start can wait: a release starts most balancers at once, and all their calls together held
+// discovery up for so long that none was answered in time. So did calls that failed, after 250 ms, doubled.
+func (b *Balancer) follow(atOnce bool) {
+	if !b.terms.MustSubscribe || b.retrying {
 		return
 	}
+	b.retrying = true
 	wait := Nanos(0)
-	if known {
-		wait = Nanos(float64(b.terms.AskEvery) / 2 * b.chance())
+	if !atOnce {
+		wait = Nanos(float64(min(b.terms.AskEvery/2, againWithin)) * b.chance())
 	}
-	b.retrying = true
 	b.host.Wake(wait, "list")
 }
 
-// followAgain tries again to follow the list, at some moment in half of AskEvery, after a further failure in
-// all of it: after 250 ms, doubled to a quarter of it, failed calls alone kept discovery from answering.
-func (b *Balancer) followAgain() {
-	if !b.terms.MustSubscribe || b.retrying {
-		return
-	}
-	b.retrying = true
-	b.backoff = min(max(b.terms.AskEvery/2, 2*b.backoff), b.terms.AskEvery)
-	b.host.Wake(Nanos(float64(b.backoff)*b.chance()), "list")
-}
+// againWithin is of the six seconds after which news counts as told once discovery can be reached, whatever came
+// of earlier calls: one is left for the call itself.
+const againWithin = 5 * Second
 
 // unitOf fixes once what a listed size counts for: units of a power of two, and by kind where sizes follow
 // the load, so that balancers that start at other times lay the same ring and no load report moves a key.
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -134,7 +134,7 @@
 	return true
 }
 
-func (s *stage) Send(id CallID, to CacheID, timeout Nanos) {
+func (s *stage) Send(id CallID, to CacheID, timeout, begin Nanos) {
 	s.act("send %s %s", id, to)
 	s.counts[string(to)]++
 	s.counts[fmt.Sprint("zone", s.hosts[to].Zone)]++
@@ -155,6 +155,11 @@
 		s.Errorf("%s: rule 2: %s may run twice", s.where, id)
 	case out > 0 || len(d.shots) >= s.terms.MostShots:
 		s.Errorf("%s: too many shots of %s", s.where, id)
+	case begin > timeout || slices.ContainsFunc(d.shots, func(x shot) bool {
+		p := s.terms.Products[d.in.Product]
+		return x.ran && p.Effect == Deduplicated && s.now+begin > x.sent+p.Window
+	}):
+		s.Errorf("%s: rule 2: %s may still begin when its repeat is not dropped any more", s.where, id)
 	case h.toldAt > 0 && s.now > h.toldAt+drainGrace:
 		s.Errorf("%s: rule 3: %s sent to %s past the grace", s.where, id, to)
 	}
--- a/policy/sizes_test.go
+++ b/policy/sizes_test.go
@@ -8,13 +8,13 @@
 // still is a host that does nothing and whose clock stands.
 type still struct{ now Nanos }
 
-func (s *still) Now() Nanos                  { return s.now }
-func (s *still) Send(CallID, CacheID, Nanos) {}
-func (s *still) Cancel(CallID, int)          {}
-func (s *still) RateLimit(CallID, Nanos)     {}
-func (s *still) Error(CallID)                {}
-func (s *still) Subscribe()                  {}
-func (s *still) Wake(after Nanos, id WakeID) {}
+func (s *still) Now() Nanos                         { return s.now }
+func (s *still) Send(CallID, CacheID, Nanos, Nanos) {}
+func (s *still) Cancel(CallID, int)                 {}
+func (s *still) RateLimit(CallID, Nanos)            {}
+func (s *still) Error(CallID)                       {}
+func (s *still) Subscribe()                         {}
+func (s *still) Wake(after Nanos, id WakeID)        {}
 func entries(n, from int, up Condition) (all []Entry) {
 	for i := range n {
 		all = append(all, Entry{Cache: CacheID(fmt.Sprint("s-", from+i)), Condition: up, Size: 1})
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,7 +30,6 @@
 	able               float64          // sizes of byID, as far as they are warm
 	pace               meter            // the same of all products
 	all, done, further meter            // shots at caches, those that were good for a unit of able, further shots
-	backoff            Nanos            // before the next try to follow the list
 	zones              map[Zone]*meter  // as all, by the caches' zones
 	fleetBears         float64          // shots out at a host that the fleet is seen to bear
 	held               float64          // a core, by the mean of caches, where the list tells
--- a/policy/types.go
+++ b/policy/types.go
@@ -23,7 +23,7 @@
 // Host is all that a Balancer can do and ask. A call to it takes effect at once.
 type Host interface {
 	Now() Nanos
-	Send(call CallID, to CacheID, timeout Nanos)
+	Send(call CallID, to CacheID, timeout, begin Nanos) // begin: it is not sent where it cannot begin within that
 	Cancel(call CallID, shot int)
 	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
 	Error(call CallID)                     // final; promises nothing
