Make the waits of discovery anew for six seconds after it could be reached, asked for too

Term: a change counts as told 6 s after discovery had it and could be reached, after any failed, refused or given-up call. Where lists are asked for a call waited 10 s (pace.go, askedWait), so a watch that fell silent was found after 13.5 s; a call whose answer stopped half way had 3 s and then the module's wait of up to 5 s on top (follow.go); so had one whose answer could not be taken; a long list in slow pieces was cut after 3 s and begun again.

Now one sum for both ways: asked W 4 s, A 1 s, one second and the grace for the call that follows; every call that got no whole answer in its time, and the first of those that cannot be taken, is made anew at once where a list is at hand (ErrAgain); an answer that has begun may pause 1.5 s and take 5 s. Pushed lists keep W 2 s, A 1 s.

TestLeavingInTime holds all of it against told + 0.9 grace in virtual time, 14 ways of failing, pushed and asked, three graces, five draws of the module.

--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// follow keeps the list. Where the module subscribes by itself it also decides when to try again; a watch that has fallen
-// silent is opened anew at once all the same: what it missed must hold soon, and it has waited for longer than a call costs.
+// follow keeps the list. Where the module subscribes by itself it also decides when to try again; after a call that got no whole
+// answer in its time it is asked anew at once all the same: what was missed must hold soon, and it has waited for long enough.
 func (b *Balancer) follow(ctx context.Context, watch *discovery.Watch, subscribed bool) {
 	defer watch.Close()
 	lag := b.pace.First
@@ -127,7 +127,7 @@
 			return
 		}
 		b.log.Warn().Err(err).Str("discovery", watch.Addr).Msg("discovery")
-		if errors.Is(err, discovery.ErrSilent) {
+		if errors.Is(err, discovery.ErrAgain) {
 			continue
 		}
 		if b.told.Terms.MustSubscribe {
--- a/internal/balancer/follow_test.go
+++ b/internal/balancer/follow_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"streamrail/internal/deployment"
+	"streamrail/internal/discovery"
 	"streamrail/internal/operator"
 	"streamrail/policy"
 )
@@ -102,8 +103,8 @@
 }
 
 // followed is a balancer that follows the agent's list and has it.
-func followed(t *testing.T, a *agent, mode string, grace time.Duration) *Balancer {
-	told := &deployment.Deployment{Name: "n", Sockets: 1024, MemoryMB: 192, DrainGrace: grace, ConnectTimeout: time.Second, IdleLimit: time.Minute,
+func followed(t *testing.T, a *agent, mode string, grace time.Duration, seed uint64) *Balancer {
+	told := &deployment.Deployment{Name: "n", Seed: seed, Sockets: 1024, MemoryMB: 192, DrainGrace: grace, ConnectTimeout: time.Second, IdleLimit: time.Minute,
 		Zones: map[string]policy.Zone{"here": 0}, Kinds: map[string]policy.Kind{"cache": 0},
 		Terms: policy.Terms{Balancers: 1, Products: make([]policy.ProductTerms, 1), MustSubscribe: mode == "asked", AskEvery: 10 * policy.Second, OriginKind: -1}}
 	b := New(told, &operator.File{}, zerolog.Nop())
@@ -120,96 +121,138 @@
 	return n
 }
 
-// Whatever befalls a watch once, a host that leaves is left alone within the grace of when it counts as told: so long after
-// the watch fell silent, or after the wait of a call that waits; at once where the agent has it and answers.
+// Whatever befalls calls to discovery, a host that leaves is left alone within the grace of six seconds after discovery had it
+// and could be reached; at once where the agent has it, and lists are pushed.
 func TestLeavingInTime(t *testing.T) {
-	silent := func(times int) func(int, net.Conn, string) bool {
+	whole := func(to net.Conn, text string) bool {
+		_, err := io.WriteString(to, text)
+		return err == nil
+	}
+	// from has what happens to the second call on, and so many more; the first brought the whole list.
+	from := func(times int, does func(to net.Conn, text string) bool) func(int, net.Conn, string) bool {
 		return func(n int, to net.Conn, text string) bool {
-			if n >= 2 && n < 2+times { // the first brought the whole list
-				return false
+			if n >= 2 && n < 2+times {
+				return does(to, text)
 			}
-			_, err := io.WriteString(to, text)
-			return err == nil
+			return whole(to, text)
 		}
 	}
-	for name, row := range map[string]struct {
-		mode    string
-		respond func(n int, to net.Conn, text string) bool
-		leaves  time.Duration // from the start on
-		downTo  time.Duration // the agent refuses connections from its leaving on up to then; what it has counts as told when it is back
-		fell    time.Duration // silent; 0: it did not
-	}{
-		"silent, pushed":       {mode: "pushed", respond: silent(1), leaves: time.Second, fell: time.Millisecond},
-		"silent, asked":        {mode: "asked", respond: silent(1), leaves: time.Second, fell: time.Millisecond},
-		"silent twice, pushed": {mode: "pushed", respond: silent(2), leaves: time.Second, fell: time.Millisecond},
-		"cut within an answer": {mode: "pushed", leaves: time.Second, fell: time.Second, respond: func(n int, to net.Conn, text string) bool {
-			if n == 2 {
-				io.WriteString(to, text[:len(text)-40])
-				return false
-			}
-			_, err := io.WriteString(to, text)
-			return err == nil
-		}},
-		"ended within an answer": {mode: "pushed", leaves: time.Second, respond: func(n int, to net.Conn, text string) bool {
-			if n == 2 {
-				io.WriteString(to, text[:len(text)-40])
-				to.Close()
-				return true
-			}
-			_, err := io.WriteString(to, text)
-			return err == nil
-		}},
-		"in small pieces": {mode: "pushed", leaves: time.Second, downTo: 2900 * time.Millisecond, respond: func(n int, to net.Conn, text string) bool {
-			for i := range text {
-				if n == 2 {
-					time.Sleep(10 * time.Millisecond)
-				}
-				if _, err := to.Write([]byte{text[i]}); err != nil {
+	silent := func(net.Conn, string) bool { return false }
+	refused := func(to net.Conn, text string) bool {
+		return whole(to, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	}
+	ended := func(to net.Conn, text string) bool { to.Close(); return true }
+	cut := func(to net.Conn, text string) bool { io.WriteString(to, text[:len(text)-40]); return false }
+	cutOff := func(to net.Conn, text string) bool { io.WriteString(to, text[:len(text)-40]); to.Close(); return true }
+	spoilt := func(to net.Conn, text string) bool {
+		return whole(to, strings.Replace(text, "generation", "gen-ration", 1)) // of version 0, before the one at hand
+	}
+	pieces := func(each time.Duration) func(to net.Conn, text string) bool {
+		return func(to net.Conn, text string) bool {
+			for i := 0; i < len(text); i += 20 {
+				time.Sleep(each)
+				if _, err := io.WriteString(to, text[i:min(i+20, len(text))]); err != nil {
 					return false
 				}
 			}
 			return true
-		}},
-		"the agent is away": {mode: "pushed", respond: func(n int, to net.Conn, text string) bool {
+		}
+	}
+	const second = time.Second
+	for name, row := range map[string]struct {
+		pushed, asked bool
+		respond       func(n int, to net.Conn, text string) bool
+		leaves        time.Duration // from the start on
+		downTo        time.Duration // the agent refuses connections from its leaving on up to then, when it is back
+		atOnce        bool          // where lists are pushed it counts as told at once then
+	}{
+		"silent":                  {pushed: true, asked: true, respond: from(1, silent), leaves: 5 * time.Millisecond},
+		"silent, leaves late":     {pushed: true, asked: true, respond: from(1, silent), leaves: second},
+		"silent twice":            {pushed: true, respond: from(2, silent), leaves: 5 * time.Millisecond},
+		"turned away":             {pushed: true, asked: true, respond: from(1, refused), leaves: second},
+		"ended before an answer":  {pushed: true, asked: true, respond: from(1, ended), leaves: second},
+		"ended within an answer":  {pushed: true, asked: true, respond: from(1, cutOff), leaves: second},
+		"silent within an answer": {pushed: true, asked: true, respond: from(1, cut), leaves: second},
+		"spoilt":                  {pushed: true, asked: true, respond: from(1, spoilt), leaves: second},
+		"spoilt, then silent": {pushed: true, asked: true, respond: func(n int, to net.Conn, text string) bool {
 			if n == 2 {
-				to.Close()
-				return true
+				return spoilt(to, text)
 			}
-			_, err := io.WriteString(to, text)
-			return err == nil
-		}, leaves: time.Second, downTo: 20 * time.Second},
+			return n != 3 && whole(to, text)
+		}, leaves: second},
+		"in small pieces":   {pushed: true, asked: true, respond: from(1, pieces(10*time.Millisecond)), leaves: second, atOnce: true},
+		"in slow pieces":    {pushed: true, asked: true, respond: from(1, pieces(400*time.Millisecond)), leaves: second},
+		"away for long":     {pushed: true, asked: true, respond: from(1, ended), leaves: second, downTo: 20 * second, atOnce: true},
+		"away for a moment": {pushed: true, asked: true, respond: from(1, ended), leaves: second, downTo: 1200 * time.Millisecond, atOnce: true},
+		"away, then turned away": {pushed: true, respond: func(n int, to net.Conn, text string) bool {
+			return map[int]func(net.Conn, string) bool{2: ended, 3: refused}[n] == nil && whole(to, text) || n == 2 && ended(to, text) || n == 3 && refused(to, text)
+		}, leaves: second, downTo: 9 * second},
 	} {
-		for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second} {
-			t.Run(fmt.Sprint(name, ", ", grace), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					a := &agent{respond: row.respond}
-					b := followed(t, a, row.mode, grace)
-					defer close(a.over)
-					defer b.hosts.Close()
-					defer b.end()
-					time.Sleep(time.Until(a.began.Add(row.leaves)))
-					a.change(func() { a.leaves, a.down = true, row.downTo > 0 })
-					told := row.leaves
-					if row.fell > 0 {
-						a.mu.Lock()
-						told = max(row.fell+6*time.Second, a.asked[1]+a.waits[1]+2*time.Second)
-						a.mu.Unlock()
-					}
-					if row.downTo > 0 {
-						time.Sleep(time.Until(a.began.Add(row.downTo)))
-						a.change(func() { a.down = false })
-						told = row.downTo
-					}
-					time.Sleep(time.Until(a.began.Add(told + grace*9/10)))
-					synctest.Wait()
-					if b.avoided() != 1 {
-						t.Errorf("not left alone %v after it leaves, told after %v; asked at %v", time.Since(a.began)-row.leaves, told-row.leaves, a.asked)
-					}
-					if n, most := len(a.asked), 5+int(time.Since(a.began)/(1750*time.Millisecond))+int(8*row.downTo/grace); n > most {
-						t.Errorf("%d calls, at %v", n, a.asked)
-					}
-				})
-			})
+		for _, mode := range []string{"pushed", "asked"} {
+			if mode == "pushed" && !row.pushed || mode == "asked" && !row.asked {
+				continue
+			}
+			for _, grace := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second} {
+				for seed := range 5 { // of the module, which draws when it asks again
+					t.Run(fmt.Sprint(name, ", ", mode, ", ", grace, ", ", seed), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							a := &agent{respond: row.respond}
+							b := followed(t, a, mode, grace, uint64(seed))
+							defer close(a.over)
+							defer b.hosts.Close()
+							defer b.end()
+							time.Sleep(time.Until(a.began.Add(row.leaves)))
+							a.change(func() { a.leaves, a.down = true, row.downTo > 0 })
+							told := row.leaves
+							if row.downTo > 0 {
+								time.Sleep(time.Until(a.began.Add(row.downTo)))
+								a.change(func() { a.down = false })
+								told = row.downTo
+							}
+							if mode == "asked" || !row.atOnce {
+								told += 6 * time.Second
+							}
+							time.Sleep(time.Until(a.began.Add(told + grace*9/10)))
+							synctest.Wait()
+							if b.avoided() != 1 {
+								t.Errorf("not left alone %v after it leaves, told after %v; asked at %v", time.Since(a.began)-row.leaves, told-row.leaves, a.asked)
+							}
+							a.mu.Lock()
+							defer a.mu.Unlock()
+							if n, most := len(a.asked), 5+int(time.Since(a.began)/(1750*time.Millisecond))+int(8*row.downTo/grace); n > most {
+								t.Errorf("%d calls, at %v", n, a.asked)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// A fleet's calls for the list, where each loads discovery: a quiet balancer's lie so far apart that 300 together stay under two
+// in askEvery (10 s) from each and the half that a discovery takes at least, and no call is ever waited for beyond its time.
+func TestCallsOfAQuietFleet(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, time.Second, 10 * time.Second} {
+		p := discovery.PaceOf(grace*9/10, false)
+		if sum := p.Wait + p.Answer + p.Connect; sum > 6*time.Second {
+			t.Errorf("grace %v: a silent watch is opened anew after %v", grace, sum)
+		}
+		if least := p.Wait * 7 / 8; 300/least.Seconds() > 300*3/10.0 {
+			t.Errorf("grace %v: 300 balancers call %.0f times a second", grace, 300/least.Seconds())
 		}
 	}
+	synctest.Test(t, func(t *testing.T) {
+		a := &agent{respond: func(n int, to net.Conn, text string) bool { _, err := io.WriteString(to, text); return err == nil }}
+		b := followed(t, a, "asked", time.Second, 1)
+		defer close(a.over)
+		defer b.hosts.Close()
+		defer b.end()
+		time.Sleep(10 * time.Minute)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if n := len(a.asked); n > 175 {
+			t.Errorf("%d calls in ten quiet minutes", n)
+		}
+	})
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -168,23 +168,27 @@
 
 const mostBytes = 8 << 20 // a list of some ten thousand hosts
 
-// ErrSilent is of a watch that has fallen silent: the call waited as long as it may and no answer came.
-var ErrSilent = errors.New("the watch has fallen silent")
+// ErrAgain is of a call that is to be made anew at once: what the list at hand misses must hold soon. It waited as long as it may
+// and got no answer, or not the whole of one; or the first of its answers that cannot be taken.
+var ErrAgain = errors.New("asked anew at once")
 
 // Watch asks for the list, then for what changes.
 type Watch struct {
-	Addr  string
-	Names Names
-	Pace  Pace
-	Dial  func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
-	conn  net.Conn
-	in    *bufio.Reader
-	after int64
-	begun bool
+	Addr   string
+	Names  Names
+	Pace   Pace
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
+	conn   net.Conn
+	in     *bufio.Reader
+	pieces *pieces
+	after  int64
+	begun  bool // it asks for changes
+	has    bool // a list is at hand
+	spoilt bool // the last answer could not be taken
 }
 
 // From has the watch ask for what changed after a list that is known already.
-func (w *Watch) From(generation int64) { w.begun, w.after = true, generation }
+func (w *Watch) From(generation int64) { w.begun, w.has, w.after = true, true, generation }
 
 // unusable is an answer that came and cannot be taken.
 type unusable struct{ error }
@@ -196,12 +200,17 @@
 	l, err := w.ask(ctx)
 	if err != nil {
 		w.Close()
+		again := errors.Is(err, os.ErrDeadlineExceeded)
 		if errors.As(err, &unusable{}) {
-			w.begun = false
+			again, w.begun, w.spoilt = !w.spoilt, false, true
+		}
+		if w.has && again {
+			err = fmt.Errorf("%w: %w", ErrAgain, err)
 		}
 		return List{}, err
 	}
 	w.From(l.Generation)
+	w.spoilt = false
 	if !l.Whole && slices.ContainsFunc(l.Unread, func(u Unread) bool { return u.Cache == "" }) {
 		w.begun = false // a change of nobody knows whom; the whole list may tell
 	}
@@ -216,6 +225,27 @@
 	}
 }
 
+// pieces reads an answer that has begun, each piece in its time and all of them in theirs.
+type pieces struct {
+	net.Conn
+	each time.Duration // 0: it has not begun
+	end  time.Time
+}
+
+func (p *pieces) next() {
+	if at := time.Now().Add(p.each); p.each > 0 && at.Before(p.end) {
+		p.SetDeadline(at)
+	} else if p.each > 0 {
+		p.SetDeadline(p.end)
+	}
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	p.next()
+	return n, err
+}
+
 func (w *Watch) dial(ctx context.Context) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.Pace.Connect)
 	defer cancel()
@@ -236,20 +266,21 @@
 		if w.conn, err = w.dial(ctx); err != nil {
 			return l, err
 		}
-		w.in = bufio.NewReader(w.conn)
+		w.pieces = &pieces{Conn: w.conn}
+		w.in = bufio.NewReader(w.pieces)
 	}
-	conn := w.conn
+	conn, pieces := w.conn, w.pieces
+	pieces.each = 0
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetDeadline(time.Now().Add(wait))
 	if _, err = conn.Write(httpwire.AppendRequest(nil, "GET", target, w.Addr, -1)); err != nil {
 		return l, err
 	}
-	if w.begun {
-		if _, err = w.in.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
-			return l, fmt.Errorf("%w: nothing for %v", ErrSilent, wait)
-		}
-		conn.SetDeadline(time.Now().Add(w.Pace.Whole)) // it has begun, and a long list may come in pieces
+	if _, err = w.in.Peek(1); err != nil {
+		return l, fmt.Errorf("nothing for %v: %w", wait, err)
 	}
+	pieces.end, pieces.each = time.Now().Add(w.Pace.Pieces), w.Pace.Piece // it has begun, and a long list may come in pieces
+	pieces.next()
 	r, err := httpwire.Read(w.in, mostBytes, mostBytes, func(int) bool { return true })
 	if err != nil {
 		return l, err
