--- a/cmd/streamrail/stand_test.go
+++ b/cmd/streamrail/stand_test.go
@@ -328,11 +328,14 @@
 	return l.Addr().String()
 }
 
+// launchedBy makes the command that runs the program; only a test that does not run beside others may change it.
+var launchedBy = func(program string) *exec.Cmd { return exec.Command(program) }
+
 // launch starts the program on a configuration.
 func launch(t *testing.T, config any, env ...string) *running {
 	path := filepath.Join(t.TempDir(), "config.json")
 	write(t, path, config)
-	p := &running{Cmd: exec.Command(program), config: path, log: &lines{}, done: make(chan error, 1)}
+	p := &running{Cmd: launchedBy(program), config: path, log: &lines{}, done: make(chan error, 1)}
 	p.Env = append(os.Environ(), append([]string{"GW_CONFIG=" + path}, env...)...)
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -34,6 +34,7 @@
 	running   context.Context
 	end       context.CancelFunc // of running
 	source    source
+	knows     atomic.Bool // a list: discovery's, or one of before with a host; without any nothing can be served
 	pace      discovery.Pace
 	subscribe chan struct{}
 
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -39,7 +39,7 @@
 type door struct{ b *Balancer }
 
 func (d door) Ready() bool {
-	return d.b.upgrade.seated.Load() && (d.b.in() == Serving || d.b.in() == Leaving)
+	return d.b.upgrade.seated.Load() && d.b.knows.Load() && (d.b.in() == Serving || d.b.in() == Leaving)
 }
 
 func (d door) Figures() admin.Figures {
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -51,6 +51,9 @@
 			b.log.Info().Str("host", string(h.Cache)).Str("condition", conditionNames[h.Condition]).Msg("host")
 		}
 	}
+	if len(l.Hosts) > 0 || kind != policy.ListRestored {
+		b.knows.Store(true)
+	}
 	b.hosts.Listed(l) // first, so that a host which the module knows can be sent to
 	b.decide(func() { b.module.Listed(kind, entries) })
 }
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -178,7 +178,7 @@
 		return c.end()
 	case fault != nil && fault.Lost:
 		return c.part(fault.Line())
-	case cmd.Noop && b.in() == Serving:
+	case cmd.Noop && b.in() == Serving && b.knows.Load(): // a front sends to who says so
 		return c.say(memcache.Alive)
 	case cmd.Noop:
 		return c.say(memcache.NotServing)
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -31,6 +31,7 @@
 		Terms: policy.Terms{Products: make([]policy.ProductTerms, 1)}}, clients: newClients(1)}
 	b.figures = newFigures(b.told)
 	b.clients.limit(1, 1)
+	b.knows.Store(true)
 	b.phase.Store(int32(Serving))
 	return b, newClient(conn), peer
 }
--- /dev/null
+++ b/internal/upstream/ends_test.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"streamrail/policy"
+)
+
+// Wherever a host's answer is cut, the outcome is what is proven: nothing that came before its last byte is an answer, and a
+// reset is no end, not even of an answer whose length is not told. What may have run stays so.
+func TestAnswersCutAtEachByte(t *testing.T) {
+	const read, write = "mg k v Oa Pc=read,d=900", "ms k 5 Oa Pc=pay,d=900,k=7"
+	head := func(more string) string { return "HTTP/1.1 200 OK\r\n" + more + "\r\n" }
+	for name, row := range map[string]struct {
+		origin        bool
+		command, text string
+		body          string
+		whole         policy.Outcome
+		endIsEnd      bool // a close in order after the head ends the answer
+	}{
+		"a value":            {command: read, text: "VA 5 Oa h1 Lutil=0.5\r\nhello\r\n", body: "hello", whole: policy.Fulfilled},
+		"an empty value":     {command: read, text: "VA 0 Oa\r\n\r\n", whole: policy.Fulfilled},
+		"a miss":             {command: read, text: "EN Oa\r\n", whole: policy.Missed},
+		"a receipt":          {command: write, text: "HD Oa cdone\r\n", body: "done", whole: policy.Fulfilled},
+		"turned away":        {command: write, text: "SERVER_ERROR busy\r\n", whole: policy.TurnedAway},
+		"failed":             {command: write, text: "SERVER_ERROR failed\r\n", whole: policy.Errored},
+		"a length":           {origin: true, command: read, text: head("Content-Length: 5\r\n") + "hello", body: "hello", whole: policy.Fulfilled},
+		"chunks":             {origin: true, command: read, text: head("Transfer-Encoding: chunked\r\n") + "2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nX-T: 1\r\n\r\n", body: "hello", whole: policy.Fulfilled},
+		"no length":          {origin: true, command: read, text: head("Connection: close\r\n") + "hello", body: "hello", whole: policy.Fulfilled, endIsEnd: true},
+		"a receipt, length":  {origin: true, command: write, text: head("Content-Length: 4\r\n") + "done", body: "done", whole: policy.Fulfilled},
+		"never ran":          {origin: true, command: write, text: "HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", whole: policy.TurnedAway},
+		"an interim, and it": {origin: true, command: write, text: "HTTP/1.1 100 Continue\r\n\r\n" + head("Content-Length: 4\r\n") + "done", body: "done", whole: policy.Fulfilled},
+	} {
+		for _, how := range []string{"closed", "reset"} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				t.Parallel()
+				limits := wide
+				limits.Pool.Most = 1000
+				hs, _, conns := stand(t, limits)
+				if row.origin {
+					hs.mu.Lock()
+					hs.all["h"].isOrigin = true
+					hs.mu.Unlock()
+				}
+				for n := 0; n <= len(row.text); n++ {
+					s, ended := shot(t, row.command, "hello", 10*time.Second)
+					hs.Shoot(s)
+					c := <-conns
+					in := make([]byte, 4096)
+					for got := ""; !strings.HasSuffix(got, "\r\n") && !strings.HasSuffix(got, "hello"); {
+						k, err := c.Read(in)
+						if err != nil {
+							t.Fatal(err)
+						}
+						got += string(in[:k])
+					}
+					io.WriteString(c, row.text[:n])
+					if how == "reset" { // once what was written has been read: a reset takes what has not
+						if n == len(row.text) && !row.endIsEnd {
+							r := <-ended
+							ended <- r
+						}
+						c.(*net.TCPConn).SetLinger(0)
+					}
+					c.Close()
+					want, body := policy.Reset, ""
+					inBody := row.endIsEnd && n >= strings.Index(row.text, "\r\n\r\n")+4
+					if n == len(row.text) && !row.endIsEnd || inBody && how == "closed" {
+						want, body = row.whole, row.body
+						if inBody {
+							body = row.text[strings.Index(row.text, "\r\n\r\n")+4 : n]
+						}
+					}
+					r := <-ended
+					if r.Outcome != want || string(r.Body) != body {
+						t.Errorf("%d bytes of %d: outcome %d %q, expected %d %q", n, len(row.text), r.Outcome, r.Body, want, body)
+					}
+				}
+			})
+		}
+	}
+}
+
+// An answer that never ends is waited for until the attempt's time is over, and no longer.
+func TestAnswerThatNeverEnds(t *testing.T) {
+	for name, row := range map[string]struct {
+		origin bool
+		text   string
+		more   string
+	}{
+		"a line":   {false, "VA 5 Oa ", "x"},
+		"a value":  {false, "VA 60000 Oa\r\n", "x"},
+		"a header": {true, "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"headers":  {true, "HTTP/1.1 200 OK\r\n", "X-One: 1\r\n"},
+		"chunks":   {true, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"a body":   {true, "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"interims": {true, "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hs, _, conns := stand(t, wide)
+			hs.mu.Lock()
+			hs.all["h"].isOrigin = row.origin
+			hs.mu.Unlock()
+			s, ended := shot(t, "mg k v Oa Pc=read,d=900", "", 300*time.Millisecond)
+			began := time.Now()
+			hs.Shoot(s)
+			c := <-conns
+			defer c.Close()
+			io.WriteString(c, row.text)
+			for r := (Result{}); ; {
+				select {
+				case r = <-ended:
+					if r.Outcome != policy.TimedOut && r.Outcome != policy.Spoilt {
+						t.Errorf("outcome %d", r.Outcome)
+					}
+					if took := time.Since(began); took > 5*time.Second {
+						t.Errorf("ended after %v", took)
+					}
+					return
+				default:
+				}
+				if _, err := io.WriteString(c, row.more); err != nil {
+					c.Close()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+// What a host says on a connection that nothing is out on belongs to no attempt: half a line, a second answer, of the same id
+// even, also just as the connection is handed to the next. Each attempt gets an answer that was made for it, or none.
+func TestSecondAnswers(t *testing.T) {
+	for name, late := range map[string]string{"half a line": "VA 5 O", "another answer": "VA 5 Oa0\r\nwrong\r\n", "a blank line": "\r\n", "a byte": "x"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hs, _, conns := stand(t, wide)
+			done := make(chan struct{})
+			defer close(done)
+			go func() {
+				for {
+					select {
+					case c := <-conns:
+						go func() {
+							defer c.Close()
+							in := make([]byte, 4096)
+							for {
+								n, err := c.Read(in)
+								if err != nil {
+									return
+								}
+								id := ""
+								for _, w := range strings.Fields(string(in[:n])) {
+									if w[0] == 'O' {
+										id = w[1:]
+									}
+								}
+								io.WriteString(c, fmt.Sprintf("VA 5 O%s\r\nright\r\n", id))
+								io.WriteString(c, late)
+							}
+						}()
+					case <-done:
+						return
+					}
+				}
+			}()
+			for i := range 300 {
+				s, ended := shot(t, fmt.Sprintf("mg k v Oa%d Pc=read,d=900", i), "", 10*time.Second)
+				hs.Shoot(s)
+				r := <-ended
+				if r.Outcome == policy.Fulfilled && string(r.Body) != "right" {
+					t.Fatalf("attempt %d got %q", i, r.Body)
+				}
+				if r.Outcome == policy.NeverSent || r.Outcome == policy.ConnectFailed || r.Outcome == policy.TurnedAway {
+					t.Fatalf("attempt %d ended as never run: %d", i, r.Outcome)
+				}
+			}
+		})
+	}
+}
