--- a/cmd/streamrail/stand_test.go
+++ b/cmd/streamrail/stand_test.go
@@ -50,6 +50,7 @@
 	id    string
 	value string
 	conn  net.Conn
+	at    time.Time
 }
 
 // cacheHost plays a cache host: each command is answered with what the test's function returns; "" says nothing.
@@ -89,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		g := got{line: strings.TrimSuffix(line, "\r\n"), words: strings.Fields(line), conn: c}
+		g := got{line: strings.TrimSuffix(line, "\r\n"), words: strings.Fields(line), conn: c, at: time.Now()}
 		for _, w := range g.words[1:] {
 			if w[0] == 'O' {
 				g.id = w[1:]
@@ -336,7 +337,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	write(t, path, config)
 	p := &running{Cmd: launchedBy(program), config: path, log: &lines{}, done: make(chan error, 1)}
-	p.Env = append(os.Environ(), append([]string{"GW_CONFIG=" + path}, env...)...)
+	p.Env = append(os.Environ(), append([]string{"GW_CONFIG=" + path, "GORACE=atexit_sleep_ms=0"}, env...)...) // else it stays a second under the detector
 	p.Stderr = p.log
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
