Refuse settings that no balancer can work by, each with its key; nothing asks without end

Every value of the settings was put to absent, null, zero, negative, huge, a word, a list, an object (TestSettingsOfAnyKind, some 900 configurations). Before: caps.mostShots = -5 was taken and a request would have panicked (make(chan, -4), decide.go); 1e300 likewise; connectTimeoutNs = 0 was taken and no connection came up; products.N.clientTimeoutNs and spans of 1e300 overflowed; rules.askEveryNs absent where lists are asked for: a failed call was made anew at once, without end (policy.follow, min(0, ...)); rules.fallNs absent with a ramp: NaN in coldRate, and cold hosts were never used. Now numbers have ranges (terms.go), spans end at a hundred years, askEvery is ten seconds where it is not told, and no time for a fall means no ramp. Without the change the test fails for the first four kinds on sight.

--- /dev/null
+++ b/internal/balancer/settings_test.go
@@ -0,0 +1,142 @@
+package balancer
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"streamrail/internal/deployment"
+	"streamrail/internal/discovery"
+	"streamrail/internal/operator"
+	"streamrail/policy"
+)
+
+// places calls do with each value in a tree of JSON, and with its path; set replaces it, drop takes it out.
+func places(v any, path string, do func(path string, set func(any), drop func())) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			at := strings.TrimPrefix(path+"."+k, ".")
+			do(at, func(n any) { v[k] = n }, func() { delete(v, k) })
+			places(x, at, do)
+		}
+	case []any:
+		for i, x := range v {
+			at := fmt.Sprint(path, ".", i)
+			do(at, func(n any) { v[i] = n }, nil)
+			places(x, at, do)
+		}
+	}
+}
+
+// Each value of the settings absent, null, zero, negative, huge, a word, a list, an object: either one line names the key, or
+// the balancer takes lists and requests, with no panic, no endless asking and no endless memory.
+func TestSettingsOfAnyKind(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/sample.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sample map[string]any
+	if err := json.Unmarshal(text, &sample); err != nil {
+		t.Fatal(err)
+	}
+	s := sample["settings"].(map[string]any)
+	s["discovery"] = "subscribe"
+	s["rules"].(map[string]any)["askEveryNs"] = 1e10
+	s["customers"] = []any{map[string]any{"name": "acme", "allowancePerS": 5.0}}
+	s["products"] = append(s["products"].([]any), map[string]any{"name": "mark", "latencySloNs": 5e8, "clientTimeoutNs": 1e9,
+		"billedValue": 1.0, "overdueBilledValue": 0.5, "effect": "deduplicated", "group": "cell", "windowNs": 1e9})
+	s["prices"] = map[string]any{"crossZone": 0.1, "origin": 0.2}
+	s["report"] = map[string]any{"source": "answers"}
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string {
+		if name == "GW_CONFIG" {
+			return path
+		}
+		return ""
+	}
+	refused, taken := 0, 0
+	try := func(at string, what any) {
+		text, err := json.Marshal(sample)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		told, err := deployment.FromEnvironment(getenv)
+		if err != nil {
+			refused++
+			keys := strings.Split(at, ".")
+			if !strings.Contains(err.Error(), keys[0]) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s = %v: %v does not name the key", at, what, err)
+			}
+			return
+		}
+		taken++
+		b := New(told, &operator.File{}, zerolog.Nop())
+		defer b.hosts.Close()
+		defer b.end()
+		host := discovery.Host{Addr: "127.0.0.1:1", Entry: policy.Entry{Cache: "h", Size: 1}}
+		cold := host
+		cold.Cache, cold.Born = "cold", b.now
+		b.listed(policy.ListRestored, discovery.List{Whole: true, Hosts: []discovery.Host{host, cold}})
+		for i := range 50 {
+			b.decide(func() {
+				for p := range told.Terms.Products {
+					b.module.Arrived(policy.Call{ID: policy.CallID(fmt.Sprint(i, "-", p)), Key: policy.Key(fmt.Sprint(i)), Product: policy.Product(p),
+						Write: p > 0, Left: policy.Second})
+				}
+				b.module.Woke("beat")
+			})
+		}
+		if told.ConnectTimeout <= 0 || told.ClientTimeout <= 0 || told.IdleLimit < 0 || told.DrainGrace < 0 || told.MostOpen <= 0 ||
+			told.Terms.MostShots < 1 || told.Terms.AskEvery <= 0 {
+			t.Errorf("%s = %v: taken as %+v", at, what, told.Terms)
+		}
+	}
+	try("settings", "as they are")
+	if taken != 1 {
+		t.Fatal("the sample is refused")
+	}
+	var all []func()
+	places(sample["settings"], "", func(at string, set func(any), drop func()) {
+		all = append(all, func() {
+			was := valueAt(sample["settings"], strings.Split(at, "."))
+			for _, v := range []any{nil, 0, -1, 1e300, -1e300, 1e18, 0.5, "word", "NaN", "", true, []any{}, map[string]any{}, []any{1, 2}} {
+				set(v)
+				try(at, v)
+			}
+			if drop != nil {
+				drop()
+				try(at, "absent")
+			}
+			set(was)
+		})
+	})
+	for _, one := range all {
+		one()
+	}
+	if refused < 100 || taken < 100 {
+		t.Errorf("%d refused, %d taken", refused, taken)
+	}
+}
+
+func valueAt(v any, path []string) any {
+	for _, k := range path {
+		switch x := v.(type) {
+		case map[string]any:
+			v = x[k]
+		case []any:
+			i := 0
+			fmt.Sscan(k, &i)
+			v = x[i]
+		}
+	}
+	return v
+}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -162,13 +162,16 @@
 		return err
 	}
 	r := &reader{pairs: pairs}
-	d.ConnectTimeout = time.Duration(r.num("caps.connectTimeoutNs", float64(250*time.Millisecond)))
-	d.IdleLimit = time.Duration(r.num("caps.keepaliveNs", float64(10*time.Second)))
+	d.ConnectTimeout = time.Duration(r.within("caps.connectTimeoutNs", float64(250*time.Millisecond), float64(time.Millisecond), float64(time.Hour)))
+	d.IdleLimit = time.Duration(r.span("caps.keepaliveNs"))
+	if _, told := pairs["caps.keepaliveNs"]; !told {
+		d.IdleLimit = 10 * time.Second
+	}
 	d.DrainGrace = time.Duration(r.within("rules.drainGraceNs", float64(time.Second), 0, float64(time.Hour)))
 	for i := range d.Terms.Products {
-		d.ClientTimeout = max(d.ClientTimeout, time.Duration(r.num(fmt.Sprintf("products.%d.clientTimeoutNs", i), 3e9)))
+		d.ClientTimeout = max(d.ClientTimeout, time.Duration(r.within(fmt.Sprintf("products.%d.clientTimeoutNs", i), 3e9, 1, float64(longest))))
 	}
-	d.MostOpen = int(r.num("caps.maxOpen", 1024))
+	d.MostOpen = int(r.within("caps.maxOpen", 1024, 1, 1<<30))
 	d.Reports = reportSources[pairs["report.source"]]
 	return r.err
 }
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -57,8 +57,11 @@
 	return n
 }
 
-// mostBalancers stops slips; no list is as long.
-const mostBalancers = 1 << 20
+// These stop slips; no list is as long, and no request is tried so often.
+const (
+	mostBalancers = 1 << 20
+	mostShots     = 1 << 10
+)
 
 // within is a number in a range.
 func (r *reader) within(path string, absent, least, most float64) float64 {
@@ -69,7 +72,13 @@
 	return n
 }
 
-func (r *reader) span(path string) policy.Nanos { return policy.Nanos(r.num(path, 0)) }
+// longest is as good as for ever, and can still be added to a moment of the clock.
+const longest = 100 * 365 * 24 * 3600 * policy.Second
+
+// span is a number of nanoseconds; 0 where it is not told.
+func (r *reader) span(path string) policy.Nanos {
+	return policy.Nanos(min(r.within(path, 0, 0, math.MaxFloat64), float64(longest)))
+}
 
 func pick[T any](r *reader, path, want string, of map[string]T) T {
 	t, ok := of[r.pairs[path]]
@@ -83,17 +92,23 @@
 func TermsOf(pairs Pairs) (policy.Terms, error) {
 	r := &reader{pairs: pairs}
 	t := policy.Terms{
-		Balancers: max(1, int(r.within("balancers", 1, 0, mostBalancers))), Zone: policy.Zone(r.num("locality", 0)),
+		Balancers: max(1, int(r.within("balancers", 1, 0, mostBalancers))), Zone: policy.Zone(r.within("locality", 0, -1, mostBalancers)),
 		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
-		OriginKind: policy.Kind(r.num("extra.originKind", -1)),
+		OriginKind: policy.Kind(r.within("extra.originKind", -1, -1, mostBalancers)),
 		MayCancel:  pairs["caps.mayCancel"] == "true",
-		MostShots:  int(r.num("caps.mostShots", 1)),
+		MostShots:  int(r.within("caps.mostShots", 1, 1, mostShots)),
 		LiveSizes:  pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
-		ColdFrom: r.num("rules.coldFrom", 0.1), RampTime: r.span("rules.rampTimeNs"),
-		FallMultiple: r.num("rules.fallMultiple", 1), FallWindow: r.span("rules.fallNs"),
+		ColdFrom: r.within("rules.coldFrom", 0.1, 0, 1), RampTime: r.span("rules.rampTimeNs"),
+		FallMultiple: r.within("rules.fallMultiple", 1, 0, 1e6), FallWindow: r.span("rules.fallNs"),
 		AskEvery: r.span("rules.askEveryNs"), Tick: r.span("tickNs"),
 		KeepAlive: r.span("caps.keepaliveNs"),
 	}
+	if t.AskEvery == 0 {
+		t.AskEvery = 10 * policy.Second // failed calls would else be made anew without end
+	}
+	if t.FallWindow == 0 {
+		t.RampTime = 0 // nothing falls, so nothing is held back
+	}
 	t.CrossPrice, t.FetchPrice = r.price("prices.crossZone"), r.price("prices.origin")
 	pick(r, "report.source", "answers, probe or none", reportSources)
 	if pairs["caps.retryAfter"] == "true" {
@@ -103,7 +118,7 @@
 		at := fmt.Sprintf("products.%d.", i)
 		p := policy.ProductTerms{
 			LatencySLO:  r.span(at + "latencySloNs"),
-			BilledValue: r.num(at+"billedValue", 1), OverdueValue: r.num(at+"overdueBilledValue", 0),
+			BilledValue: r.within(at+"billedValue", 1, 0, 1e12), OverdueValue: r.within(at+"overdueBilledValue", 0, 0, 1e12),
 			Effect: pick(r, at+"effect", "idempotent, deduplicated or at_most_once", effects),
 			Window: r.span(at + "windowNs"),
 		}
