--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -204,8 +204,12 @@
 		if errors.As(err, &unusable{}) {
 			again, w.begun, w.spoilt = !w.spoilt, false, true
 		}
-		if w.has && again {
+		switch {
+		case !w.has || !again:
+		case w.spoilt:
 			err = fmt.Errorf("%w: %w", ErrAgain, err)
+		default:
+			err = fmt.Errorf("the watch has fallen silent, %w: %w", ErrAgain, err)
 		}
 		return List{}, err
 	}
