Ask a moved discovery anew at once where its first call gets no whole answer

After SIGHUP the watch at the new address did not know that a list is at hand (follow.go watch), so a first call that got no answer in 3 s was left to the module, which waits up to five more where lists are asked for: 8 s, of six.

--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -86,6 +86,7 @@
 	ctx, stop := context.WithCancel(b.running)
 	b.source.stop = stop
 	watch := &discovery.Watch{Addr: b.source.addr, Names: b.names(), Pace: b.pace, Dial: b.source.dial}
+	watch.Has = len(b.source.list.Hosts) > 0
 	if b.source.known != nil {
 		watch.From(*b.source.known)
 		b.source.known = nil // of the first address only
--- a/internal/balancer/follow_test.go
+++ b/internal/balancer/follow_test.go
@@ -256,3 +256,55 @@
 		}
 	})
 }
+
+// A new configuration moves the list while the watch before is open, silent, or being made anew, and the first call at the new
+// address gets no answer: what it has holds in the grace of four seconds after the signal where lists are pushed, of six where they
+// are asked for.
+func TestMovedInTime(t *testing.T) {
+	for name, row := range map[string]struct {
+		before, after func(n int) bool // whether the n-th call at the old address, and at the new one, is answered
+	}{
+		"open":             {func(int) bool { return true }, func(int) bool { return true }},
+		"silent before":    {func(n int) bool { return n < 2 }, func(int) bool { return true }},
+		"silent at first":  {func(int) bool { return true }, func(n int) bool { return n > 1 }},
+		"silent at either": {func(n int) bool { return n < 2 }, func(n int) bool { return n > 1 }},
+	} {
+		for mode, told := range map[string]time.Duration{"pushed": 4 * time.Second, "asked": 6 * time.Second} {
+			for _, at := range []time.Duration{time.Millisecond, 1900 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+				t.Run(fmt.Sprint(name, ", ", mode, ", ", at), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						const grace = time.Second
+						answers := func(when func(int) bool) func(int, net.Conn, string) bool {
+							return func(n int, to net.Conn, text string) bool {
+								if !when(n) {
+									return false
+								}
+								_, err := io.WriteString(to, text)
+								return err == nil
+							}
+						}
+						a := &agent{respond: answers(row.before)}
+						b := followed(t, a, mode, grace, 1)
+						defer close(a.over)
+						defer b.hosts.Close()
+						defer b.end()
+						time.Sleep(at)
+						moved := &agent{respond: answers(row.after), leaves: true, began: time.Now(), news: make(chan struct{}), over: make(chan struct{})}
+						defer close(moved.over)
+						b.source.mu.Lock()
+						b.source.dial = moved.dial
+						b.source.mu.Unlock()
+						to := *b.told
+						to.Discovery = "moved"
+						b.Reload(&to)
+						time.Sleep(told + grace*9/10)
+						synctest.Wait()
+						if b.avoided() != 1 {
+							t.Errorf("not left alone; asked at %v", moved.asked)
+						}
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -177,18 +177,18 @@
 	Addr   string
 	Names  Names
 	Pace   Pace
+	Has    bool                                                              // a list is at hand, from wherever
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
 	conn   net.Conn
 	in     *bufio.Reader
 	pieces *pieces
 	after  int64
 	begun  bool // it asks for changes
-	has    bool // a list is at hand
 	spoilt bool // the last answer could not be taken
 }
 
 // From has the watch ask for what changed after a list that is known already.
-func (w *Watch) From(generation int64) { w.begun, w.has, w.after = true, true, generation }
+func (w *Watch) From(generation int64) { w.begun, w.Has, w.after = true, true, generation }
 
 // unusable is an answer that came and cannot be taken.
 type unusable struct{ error }
@@ -205,7 +205,7 @@
 			again, w.begun, w.spoilt = !w.spoilt, false, true
 		}
 		switch {
-		case !w.has || !again:
+		case !w.Has || !again:
 		case w.spoilt:
 			err = fmt.Errorf("%w: %w", ErrAgain, err)
 		default:
