Let nobody cut the end of a connection short, nor keep the last look from looking

Read again, not seen: endIdle and room made wake a connection by its time limit; one that was passing over what still came (finish) would have been closed at once, over unread bytes; a limit set between the two lines of look kept RawConn.Read from calling it. wake leaves ended connections alone, look asks by Control, which knows no limit. A long write that begins as the time is out is not taken.

--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -138,7 +138,6 @@
 	if c.in.Buffered() > 0 || len(c.ahead.bytes) > 0 || c.ahead.end != nil {
 		return true
 	}
-	c.net.SetReadDeadline(time.Time{})
 	conn, ok := c.net.(syscall.Conn)
 	if !ok {
 		return false
@@ -147,7 +146,7 @@
 	if err != nil {
 		return false
 	}
-	raw.Read(func(fd uintptr) bool {
+	raw.Control(func(fd uintptr) { // not Read, which a time limit that others set would keep from looking
 		c.ahead.add(func(p []byte) (int, error) {
 			n, err := syscall.Read(int(fd), p)
 			switch {
@@ -160,7 +159,6 @@
 			}
 			return n, nil
 		})
-		return true
 	})
 	return len(c.ahead.bytes) > 0 || c.ahead.end != nil
 }
@@ -168,6 +166,7 @@
 // finish ends the connection once all of its commands are answered. Closed over bytes that have come unread it would be reset,
 // and a reset takes answers that the client has not read yet; so it ends its sending first, and passes over what still comes.
 func (c *client) finish() {
+	c.ended.Store(true)
 	if t, ok := c.net.(*net.TCPConn); ok && c.ahead.end == nil {
 		t.CloseWrite()
 		c.net.SetReadDeadline(time.Now().Add(lingers))
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -33,6 +33,7 @@
 	counted   bool          // among the proven; the same
 	ahead     ahead         // read while the reader waited for something else
 	over      atomic.Bool   // no further command is taken
+	ended     atomic.Bool   // all is answered, and what still comes is passed over
 	gone      chan struct{} // closed when the client has gone away
 	goneOnce  sync.Once
 	last      chan struct{} // closed when the last command is answered
@@ -61,7 +62,11 @@
 }
 
 // wake ends the wait for the next command. A command that has begun to come is still read.
-func (c *client) wake() { c.net.SetReadDeadline(longAgo) }
+func (c *client) wake() {
+	if !c.ended.Load() { // else its end would be cut short
+		c.net.SetReadDeadline(longAgo)
+	}
+}
 
 // Read notes the time, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
@@ -184,6 +189,9 @@
 		return c.say(memcache.NotServing)
 	}
 	call.Command = cmd
+	if cmd.Write && cmd.Length > upstream.Whole && c.over.Load() { // ended before its value has come: it is not taken
+		return c.end()
+	}
 	started, admitted := false, b.open.Add(1) <= b.mostInHand.Load() && b.clients.room(c)
 	long := cmd.Write && fault == nil && cmd.Length > upstream.Whole
 	room := cmd.Length
