--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -37,7 +37,7 @@
 	p, _ := start(t, nil, nil, h)
 	c := p.dial(t)
 	expect(t, c.ask("mg key-1 v Oabc Pc=read,t=x,d=900,size=3\r\n"), "VA 14 Oabc|value of key-1")
-	g := await(t, h.came, "the shot")
+	g := await(t, h.came, "the attempt")
 	var left int
 	if n, _ := fmt.Sscanf(g.line, "mg key-1 v Oabc Pc=read,t=x,d=%d,size=3", &left); n != 1 || left > 900 || left < 700 {
 		t.Errorf("the host got %q", g.line)
@@ -225,7 +225,7 @@
 		{"ms k 5 O1 Pc=marked,d=900\r\nhello\r\n", "CLIENT_ERROR no mark against repeats", true},
 		{"ms k -5 O1 Pc=pay,d=900\r\n", "CLIENT_ERROR bad data chunk", false},
 		{"ms k 60000000 O1 Pc=pay,d=900\r\n" + strings.Repeat("v", 1<<20), "CLIENT_ERROR value too large", false},
-		{"mg k v O1 Pc=read,d=1\r\n", "SERVER_ERROR busy", true}, // no time is left for any shot
+		{"mg k v O1 Pc=read,d=1\r\n", "SERVER_ERROR busy", true}, // no time is left for any attempt
 		{"ms k 5 Pc=pay,d=9\r\nhello\r\n", "CLIENT_ERROR no id", true},
 		{"ms k five O1 Pc=pay,d=9\r\n", "CLIENT_ERROR bad data chunk", false},
 		{"ms k 5 O1 Pc=pay,d=9\r\nhello, you\r\n", "CLIENT_ERROR bad data chunk", false},
@@ -259,7 +259,7 @@
 	p, _ := start(t, through, nil, h)
 	c, other := p.dial(t), p.dial(t)
 	c.send(put("pay", "held", "a", 3000))
-	await(t, h.came, "the shot")
+	await(t, h.came, "the attempt")
 	expect(t, other.ask(get("k", "a", 900)), "CLIENT_ERROR id is in hand")
 	expect(t, other.ask(get("k", "b", 900)), "VA 10 Ob|value of k")
 	close(release)
@@ -274,15 +274,15 @@
 	}
 }
 
-// A client that goes away takes its shots with it: the host's work would serve nobody.
+// A client that goes away takes its attempts with it: the host's work would serve nobody.
 func TestClientGone(t *testing.T) {
 	h := newHost(t, "h", say(""))
 	p, _ := start(t, nil, nil, h)
 	c := p.dial(t)
 	c.send(get("k", "a", 60000))
-	await(t, h.came, "the shot")
+	await(t, h.came, "the attempt")
 	c.Close()
-	await(t, h.ended, "the end of the shot's connection")
+	await(t, h.ended, "the end of the attempt's connection")
 }
 
 // A host that is silent after accepting: the answer comes before the client timeout, and the host's late one
@@ -302,7 +302,7 @@
 	if got := c.ask(get("k", "a", 400)); !strings.HasPrefix(got, "SERVER_ERROR busy") || time.Since(began) > 450*time.Millisecond {
 		t.Errorf("%q after %v", got, time.Since(began))
 	}
-	await(t, h.ended, "the end of the shot's connection")
+	await(t, h.ended, "the end of the attempt's connection")
 	io.WriteString((<-late).conn, "VA 4 Oa\r\nlate\r\n")
 	expect(t, c.ask(get("k", "b", 900)), "VA 10 Ob|value of k")
 }
@@ -489,7 +489,7 @@
 		p, _ := start(t, nil, nil, h)
 		c := p.dial(t)
 		c.send(get("k", "a", 60000))
-		await(t, h.came, "the shot")
+		await(t, h.came, "the attempt")
 		idle := p.dial(t)
 		expect(t, idle.ask("mn\r\n"), "MN")
 		for _, s := range signals {
--- a/cmd/streamrail/move_test.go
+++ b/cmd/streamrail/move_test.go
@@ -33,7 +33,7 @@
 			}
 			all.Wait()
 			if n := sick.count(); n < 4 {
-				t.Fatalf("it got %d shots: too little was learnt", n)
+				t.Fatalf("it got %d attempts: too little was learnt", n)
 			}
 			if row.again {
 				fresh := newHost(t, "sick", hit)
@@ -56,7 +56,7 @@
 				}
 			}
 			if n := sick.count() - before; n < row.least || n > row.most {
-				t.Errorf("the host got %d shots, expected %d to %d", n, row.least, row.most)
+				t.Errorf("the host got %d attempts, expected %d to %d", n, row.least, row.most)
 			}
 			if served < 50 {
 				t.Errorf("%d of 60 calls were fulfilled", served)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -289,7 +289,7 @@
 // Figures are what the balancer counts since its start, and how things stand.
 type Figures struct {
 	Products []Product
-	Shots    int64  // written whole
+	Attempts int64  // written whole
 	InHand   int64  // API calls
 	Listed   int    // cache hosts
 	Avoided  int    // of those
@@ -322,7 +322,7 @@
 		name, kind string
 		n          int64
 	}{
-		{"app_sends_total", "counter", f.Shots},
+		{"app_sends_total", "counter", f.Attempts},
 		{"app_current", "gauge", f.InHand},
 		{"app_cluster_size", "gauge", int64(f.Listed)},
 		{"app_cluster_unhealthy", "gauge", int64(f.Avoided)},
--- a/internal/admin/evidence.go
+++ b/internal/admin/evidence.go
@@ -2,8 +2,8 @@
 
 import "errors"
 
-// ErrNoEvidence is what a balancer answers that judges hosts by its own shots alone.
-var ErrNoEvidence = errors.New("this balancer judges hosts by its own shots alone: its operator's file has no evidence = true under [fleet]")
+// ErrNoEvidence is what a balancer answers that judges hosts by its own attempts alone.
+var ErrNoEvidence = errors.New("this balancer judges hosts by its own attempts alone: its operator's file has no evidence = true under [fleet]")
 
 // Evidence is what other balancers say of hosts, as far as it counts at this one.
 type Evidence struct {
--- a/internal/balancer/shoot.go
+++ b/internal/balancer/attempt.go
@@ -6,10 +6,10 @@
 	"streamrail/internal/upstream"
 )
 
-// shoot starts a shot; how it ends comes back through c.ended.
-func (c *call) shoot(o order) {
-	n, sent := len(c.shots), time.Now()
-	s := &upstream.Shot{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time)),
+// send starts an attempt; how it ends comes back through c.ended.
+func (c *call) send(o order) {
+	n, sent := len(c.attempts), time.Now()
+	s := &upstream.Attempt{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time)),
 		Begin: sent.Add(time.Duration(o.begin))}
 	s.Room = c.hold
 	s.Pass = c.pass
@@ -17,16 +17,16 @@
 		s.Upload = &c.upload.Upload
 	}
 	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent) - r.Peer} }
-	c.shots = append(c.shots, s)
+	c.attempts = append(c.attempts, s)
 	c.out++
 	if c.client.hasLeft() { // since this was decided
 		s.GiveUp()
 	}
-	c.b.hosts.Shoot(s)
+	c.b.hosts.Send(s)
 }
 
-// recall gives a shot up.
-func (c *call) recall(o order) { c.shots[o.shot].GiveUp() }
+// recall gives an attempt up.
+func (c *call) recall(o order) { c.attempts[o.attempt].GiveUp() }
 
 // hold takes memory for a value until the API call is left; false where there is no room for it.
 func (c *call) hold(bytes int) bool {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,6 +1,6 @@
 // Package balancer serves clients: it takes API calls from their connections, has the module decide about
 // each, carries out what it orders and answers. The files follow the stages of an API call: accept, read,
-// decide, shoot, reply. Nothing here chooses where a call goes or whether it is tried again.
+// decide, send, reply. Nothing here chooses where a call goes or whether it is tried again.
 package balancer
 
 import (
@@ -62,7 +62,7 @@
 	fleet      fleet
 	limits     *limits    // nil: parts of what holds for the fleet are equal ones
 	orders     *orders    // nil: orders by hand hold here alone
-	witnesses  *witnesses // nil: hosts are judged by own shots alone
+	witnesses  *witnesses // nil: hosts are judged by own attempts alone
 }
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
@@ -108,5 +108,5 @@
 	ownSockets   = 16       // descriptors for the listener, discovery, logs and the runtime: seven, and some to spare
 	part         = 4        // of the memory for API calls in hand, and as much for their values
 	callBytes    = 32 << 10 // stacks and buffers of one with its two connections
-	mostToOrigin = 64       // the module starts with as many shots out there
+	mostToOrigin = 64       // the module starts with as many attempts out there
 )
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -25,11 +25,11 @@
 	turn     chan struct{} // closed when the commands before it are answered
 	answered chan struct{} // closed when this one is
 
-	held  atomic.Int64 // bytes of values
-	shots []*upstream.Shot
-	out   int
-	ended chan ending
-	nudge chan struct{} // there are orders
+	held     atomic.Int64 // bytes of values
+	attempts []*upstream.Attempt
+	out      int
+	ended    chan ending
+	nudge    chan struct{} // there are orders
 
 	// Under Balancer.mu.
 	orders  []order
@@ -38,16 +38,16 @@
 
 type ending struct {
 	upstream.Result
-	shot int
-	took time.Duration
+	attempt int
+	took    time.Duration
 }
 
 // order is what the module wants done for an API call.
 type order struct {
-	do   func(c *call, o order)
-	to   policy.CacheID
-	shot int
-	time policy.Nanos
+	do      func(c *call, o order)
+	to      policy.CacheID
+	attempt int
+	time    policy.Nanos
 	// begin is how long an attempt may take to begin: connecting and waiting for a connection take time after the decision.
 	begin policy.Nanos
 }
@@ -55,7 +55,7 @@
 // wayBack is kept of the client's time for the answer to reach it.
 const wayBack = 3 * time.Millisecond
 
-// live is the life of one API call, from when it was read to its one final answer and the end of its shots.
+// live is the life of one API call, from when it was read to its one final answer and the end of its attempts.
 func (b *Balancer) live(c *call) {
 	defer b.leave(c)
 	left := c.Left - wayBack - time.Since(c.arrived)
@@ -66,7 +66,7 @@
 		c.rateLimit(order{})
 		return
 	}
-	c.ended = make(chan ending, b.told.Terms.MostShots+1)
+	c.ended = make(chan ending, b.told.Terms.MostAttempts+1)
 	c.nudge = make(chan struct{}, 1)
 	b.arrives(c.customer)
 	b.decide(func() {
@@ -95,11 +95,11 @@
 			b.saw(c, e)
 			won := false
 			b.decide(func() {
-				b.tally.shot(c.shots[e.shot].To, e.Outcome)
+				b.tally.attempt(c.attempts[e.attempt].To, e.Outcome)
 				won = e.Outcome == policy.Fulfilled && !c.settled
 				c.settled = c.settled || won
-				b.module.Ended(policy.Ending{Call: c.id, Shot: e.shot, Final: c.settled, Outcome: e.Outcome,
-					Took: policy.Nanos(e.took), Load: e.Load, Cache: c.shots[e.shot].To})
+				b.module.Ended(policy.Ending{Call: c.id, Attempt: e.attempt, Final: c.settled, Outcome: e.Outcome,
+					Took: policy.Nanos(e.took), Load: e.Load, Cache: c.attempts[e.attempt].To})
 			})
 			if won {
 				b.tally.fulfilled.Add(1)
@@ -147,7 +147,7 @@
 // mostResting bounds the goroutines that wait for a call: a burst leaves no more behind.
 const mostResting = 64
 
-// leave forgets an API call that has its answer and whose shots have ended.
+// leave forgets an API call that has its answer and whose attempts have ended.
 func (b *Balancer) leave(c *call) {
 	b.mu.Lock()
 	delete(b.calls, c.id)
@@ -208,11 +208,11 @@
 func (h host) Now() policy.Nanos { return h.b.now }
 
 func (h host) Send(id policy.CallID, to policy.CacheID, timeout, begin policy.Nanos) {
-	h.note(id, order{do: (*call).shoot, to: to, time: timeout, begin: begin}, false)
+	h.note(id, order{do: (*call).send, to: to, time: timeout, begin: begin}, false)
 }
 
-func (h host) Cancel(id policy.CallID, shot int) {
-	h.note(id, order{do: (*call).recall, shot: shot}, false)
+func (h host) Cancel(id policy.CallID, attempt int) {
+	h.note(id, order{do: (*call).recall, attempt: attempt}, false)
 }
 
 func (h host) RateLimit(id policy.CallID, comeBack policy.Nanos) {
--- a/internal/balancer/ends_test.go
+++ b/internal/balancer/ends_test.go
@@ -43,7 +43,7 @@
 	told := &deployment.Deployment{Name: "n", Sockets: 1024, MemoryMB: 192, DrainGrace: time.Second, ConnectTimeout: patience, IdleLimit: time.Minute,
 		ClientTimeout: 3 * time.Second, MostOpen: 1000, Zones: map[string]policy.Zone{"here": 0}, Kinds: map[string]policy.Kind{"cache": 0},
 		Products: map[string]policy.Product{"pay": 0, "read": 1},
-		Terms:    policy.Terms{Balancers: 1, Products: []policy.ProductTerms{terms, read}, OriginKind: -1, MayCancel: true, MostShots: 4, Tick: policy.Millisecond}}
+		Terms:    policy.Terms{Balancers: 1, Products: []policy.ProductTerms{terms, read}, OriginKind: -1, MayCancel: true, MostAttempts: 4, Tick: policy.Millisecond}}
 	x.Balancer = New(told, &operator.File{}, zerolog.Nop())
 	names := map[string]string{}
 	l := discovery.List{Whole: true}
--- a/internal/balancer/evidence.go
+++ b/internal/balancer/evidence.go
@@ -123,11 +123,11 @@
 	}
 }
 
-// saw notes how a shot of an API call ended.
+// saw notes how an attempt of an API call ended.
 func (b *Balancer) saw(c *call, e ending) {
 	if w := b.witnesses; w != nil {
 		if good, proves := evidence.Proves(e.Outcome, policy.Nanos(e.took), b.told.Terms.Products[c.product].LatencySLO); proves {
-			w.with(func(p *evidence.Machine, now evidence.Moment) { p.Ended(now, string(c.shots[e.shot].To), good) })
+			w.with(func(p *evidence.Machine, now evidence.Moment) { p.Ended(now, string(c.attempts[e.attempt].To), good) })
 		}
 	}
 }
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -44,7 +44,7 @@
 
 func (d door) Figures() admin.Figures {
 	f := d.b.figures
-	to := admin.Figures{Shots: d.b.hosts.Sent(), InHand: f.inHand.Load()}
+	to := admin.Figures{Attempts: d.b.hosts.Sent(), InHand: f.inHand.Load()}
 	for i, name := range f.names {
 		n := &f.finals[i]
 		to.Products = append(to.Products, admin.Product{Name: name, Fulfilled: n[fulfilled].Load(),
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -272,7 +272,7 @@
 	return nil
 }
 
-// claim takes the call's id; false where another API call in hand has it. Hosts know a shot by that id, and would
+// claim takes the call's id; false where another API call in hand has it. Hosts know an attempt by that id, and would
 // take one of two for the other's repeat.
 func (b *Balancer) claim(c *call) bool {
 	b.mu.Lock()
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -14,17 +14,17 @@
 	boundLeast  = 5 // refusals by a bound on connections in that time: fewer is a burst that passed
 )
 
-// tally counts what became of API calls and shots since the start.
+// tally counts what became of API calls and attempts since the start.
 type tally struct {
 	fulfilled, rateLimited, errored, abandoned atomic.Int64
 	// Under Balancer.mu.
-	shots [policy.Unknown + 1]int64    // by outcome
-	hosts map[policy.CacheID]*[2]int64 // shots since the last report, and those that came to nothing
+	attempts [policy.Unknown + 1]int64    // by outcome
+	hosts    map[policy.CacheID]*[2]int64 // attempts since the last report, and those that came to nothing
 }
 
-// shot counts one that has ended.
-func (t *tally) shot(at policy.CacheID, o policy.Outcome) {
-	t.shots[o]++
+// attempt counts one that has ended.
+func (t *tally) attempt(at policy.CacheID, o policy.Outcome) {
+	t.attempts[o]++
 	h := t.hosts[at]
 	if h == nil {
 		h = new([2]int64)
@@ -42,7 +42,7 @@
 // report logs the tally; the differences of two lines are what happened between them.
 func (b *Balancer) report() {
 	b.mu.Lock()
-	taken, shots, hosts := b.taken, b.tally.shots, b.tally.hosts
+	taken, attempts, hosts := b.taken, b.tally.attempts, b.tally.hosts
 	b.tally.hosts = map[policy.CacheID]*[2]int64{}
 	b.mu.Unlock()
 	for id, n := range hosts {
@@ -56,7 +56,7 @@
 		}
 	}
 	byOutcome := zerolog.Dict()
-	for i, n := range shots {
+	for i, n := range attempts {
 		if n > 0 {
 			byOutcome.Int64(outcomeNames[i], n)
 		}
--- a/internal/balancer/settings_test.go
+++ b/internal/balancer/settings_test.go
@@ -96,7 +96,7 @@
 			})
 		}
 		if told.ConnectTimeout <= 0 || told.ClientTimeout <= 0 || told.IdleLimit < 0 || told.DrainGrace < 0 || told.MostOpen <= 0 ||
-			told.Terms.MostShots < 1 || told.Terms.AskEvery <= 0 {
+			told.Terms.MostAttempts < 1 || told.Terms.AskEvery <= 0 {
 			t.Errorf("%s = %v: taken as %+v", at, what, told.Terms)
 		}
 	}
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -50,7 +50,7 @@
 	return true
 }
 
-// upload is a long value that a client writes. Its reader is the shot that takes it; what no shot takes is passed over.
+// upload is a long value that a client writes. Its reader is the attempt that takes it; what no attempt takes is passed over.
 type upload struct {
 	upstream.Upload
 	call    *call
--- a/internal/benchwire/decode.go
+++ b/internal/benchwire/decode.go
@@ -113,7 +113,7 @@
 	}
 	f.number(7) // how a read went: nothing is made of it, but a malformed line is refused
 	return policy.Ending{
-		Call: policy.CallID(f.must(2)), Shot: int(f.number(3)), Final: f.text(4) == "1", Outcome: code,
+		Call: policy.CallID(f.must(2)), Attempt: int(f.number(3)), Final: f.text(4) == "1", Outcome: code,
 		Took: f.nanos(6), Cache: policy.CacheID(f.must(8)),
 		Load: loadreport.Parse(f.text(9), ":"),
 	}
--- a/internal/benchwire/link.go
+++ b/internal/benchwire/link.go
@@ -177,8 +177,8 @@
 func (in *instance) Send(c policy.CallID, to policy.CacheID, timeout, _ policy.Nanos) {
 	in.write("FORWARD", string(c), string(to), whole(timeout))
 }
-func (in *instance) Cancel(c policy.CallID, shot int) {
-	in.write("CANCEL", string(c), strconv.Itoa(shot))
+func (in *instance) Cancel(c policy.CallID, attempt int) {
+	in.write("CANCEL", string(c), strconv.Itoa(attempt))
 }
 func (in *instance) RateLimit(c policy.CallID, comeBack policy.Nanos) {
 	in.write("REFUSE", string(c), whole(comeBack))
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -60,7 +60,7 @@
 // These stop slips; no list is as long, and no request is tried so often.
 const (
 	mostBalancers = 1 << 20
-	mostShots     = 1 << 10
+	mostAttempts  = 1 << 10
 )
 
 // within is a number in a range.
@@ -94,10 +94,10 @@
 	t := policy.Terms{
 		Balancers: max(1, int(r.within("balancers", 1, 0, mostBalancers))), Zone: policy.Zone(r.within("locality", 0, -1, mostBalancers)),
 		MustSubscribe: pairs["discovery"] == "subscribe", Aside: pairs["extra.mode"] == "aside",
-		OriginKind: policy.Kind(r.within("extra.originKind", -1, -1, mostBalancers)),
-		MayCancel:  pairs["caps.mayCancel"] == "true",
-		MostShots:  int(r.within("caps.mostShots", 1, 1, mostShots)),
-		LiveSizes:  pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
+		OriginKind:   policy.Kind(r.within("extra.originKind", -1, -1, mostBalancers)),
+		MayCancel:    pairs["caps.mayCancel"] == "true",
+		MostAttempts: int(r.within("caps.mostShots", 1, 1, mostAttempts)),
+		LiveSizes:    pairs["weights"] == "live", SizesEqual: pairs["weights"] == "none",
 		ColdFrom: r.within("rules.coldFrom", 0.1, 0, 1), RampTime: r.span("rules.rampTimeNs"),
 		FallMultiple: r.within("rules.fallMultiple", 1, 0, 1e6), FallWindow: r.span("rules.fallNs"),
 		AskEvery: r.span("rules.askEveryNs"), Tick: r.span("tickNs"),
--- a/internal/fleet/carry/evidence.go
+++ b/internal/fleet/carry/evidence.go
@@ -6,7 +6,7 @@
 	"streamrail/internal/fleet/evidence"
 )
 
-// TopicEvidence is how shots at hosts ended.
+// TopicEvidence is how attempts at hosts ended.
 const TopicEvidence = 3
 
 // seen is evidence.Message as it is sent.
--- a/internal/fleet/evidence/evidence.go
+++ b/internal/fleet/evidence/evidence.go
@@ -1,4 +1,4 @@
-// Package evidence tells balancers of one fleet how shots at hosts ended at the others, and makes of what is heard a word on each
+// Package evidence tells balancers of one fleet how attempts at hosts ended at the others, and makes of what is heard a word on each
 // host for the module to weigh: a few numbers, bounded in age and in what they can do. It is a state machine without I/O, clock or
 // goroutine: moments and messages come in, messages go out, chance is a seed's. docs/notes/verdicts.md has what can fail and the bounds.
 package evidence
@@ -18,7 +18,7 @@
 // Moment is a time on this process's own steady clock.
 type Moment = time.Duration
 
-// Row is how the shots of one balancer at one host ended lately.
+// Row is how the attempts of one balancer at one host ended lately.
 type Row struct {
 	Host      string
 	Good, Bad int
@@ -85,7 +85,7 @@
 	late = 2 * time.Second
 	// drift lets the quickest one age: clocks go apart, and ways grow longer for good.
 	drift = 0.1
-	// With a turn of a second 80 balancers sent 515 shots to nodes that fail where alone they sent 724, with half of one 460.
+	// With a turn of a second 80 balancers sent 515 attempts to nodes that fail where alone they sent 724, with half of one 460.
 	// partners are told by each balancer, atOnce of them a turn, always the same as long as all live: at hundreds of balancers chance
 	// would bring nobody two messages of one sender in time. Sixteen witnesses see a bad host sixteen times as soon.
 	partners = 16
@@ -144,7 +144,7 @@
 	return &Machine{terms: t, own: map[string]*own{}, heard: map[member.Life]*witness{}, zones: map[member.Life]string{}}
 }
 
-// Proves tells what the end of a shot says of its host, if it says anything: an answer within the latency SLO is good, none by then is
+// Proves tells what the end of an attempt says of its host, if it says anything: an answer within the latency SLO is good, none by then is
 // bad, and so is a failure. One that was turned away, never sent or called back early says nothing.
 func Proves(o policy.Outcome, took, slo policy.Nanos) (good, proves bool) {
 	switch o {
@@ -158,7 +158,7 @@
 	return false, false
 }
 
-// Ended notes how a shot of this balancer's own ended.
+// Ended notes how an attempt of this balancer's own ended.
 func (m *Machine) Ended(now Moment, host string, good bool) {
 	m.to(now)
 	o := m.own[host]
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -25,7 +25,7 @@
 	Limits  bool              `toml:"limits"`   // parts of the tenants' allowances move to where their calls are
 	Lease   strict.Span       `toml:"lease"`    // for which a part is lent
 	Orders  bool              `toml:"orders"`   // hosts out by hand are out at all balancers
-	// Evidence has balancers tell each other how shots at hosts ended.
+	// Evidence has balancers tell each other how attempts at hosts ended.
 	Evidence bool `toml:"evidence"`
 
 	OrdersPart float64 `toml:"orders_part"` // of the cache hosts that may be out by hand without force
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,7 +27,7 @@
 	ColdFor      strict.Span `toml:"cold_for"`      // since its start
 	Age          strict.Span `toml:"age"`           // at which one is retired
 	Reuse        string      `toml:"reuse"`         // longest or last
-	Wait         float64     `toml:"wait"`          // part of its remaining time that a shot may wait for one in use
+	Wait         float64     `toml:"wait"`          // part of its remaining time that an attempt may wait for one in use
 	Ahead        float64     `toml:"ahead"`         // deviations beyond the mean need that are opened ahead
 	Shrink       strict.Span `toml:"shrink"`        // what nobody used for so long goes
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,7 +1,7 @@
-// Package pool decides over the connections to cache hosts: which one carries the next shot, when one is opened and
-// ahead of what need, which shot waits for one, when one is retired. A Pool is told what happens by one method for each
+// Package pool decides over the connections to cache hosts: which one carries the next attempt, when one is opened and
+// ahead of what need, which attempt waits for one, when one is retired. A Pool is told what happens by one method for each
 // thing and acts by calling the Orders it was made with. It is not safe for concurrent use, keeps no clock and does no
-// I/O; which host a shot goes to, and whether it is tried again, is decided elsewhere.
+// I/O; which host an attempt goes to, and whether it is tried again, is decided elsewhere.
 package pool
 
 import (
@@ -13,9 +13,9 @@
 )
 
 type (
-	Host string // a cache host, or the origin
-	Conn uint64 // given out by the pool, never twice
-	Shot uint64 // given out by the caller, never twice
+	Host    string // a cache host, or the origin
+	Conn    uint64 // given out by the pool, never twice
+	Attempt uint64 // given out by the caller, never twice
 )
 
 // Why is the reason of an order that ends something.
@@ -26,12 +26,12 @@
 	Leaving              // the host drains, is gone or is another process now
 	Full                 // the bound on its connections, or on all, is reached and none comes free in time
 	Budget               // it may not be opened another connection just now
-	Late                 // the shot's time is over, or would be
+	Late                 // the attempt's time is over, or would be
 	NoConnect            // the connection that it waited for did not come up
 	Idle                 // at rest for so long that the host may close it
 	Age                  // open for long enough
 	Surplus              // more than the last while needed
-	Room                 // another host's shot needs its place
+	Room                 // another host's attempt needs its place
 	Shut                 // the pool is closed
 )
 
@@ -41,10 +41,10 @@
 
 // Orders is all that a Pool can do. A call to it takes effect at once and must not call back.
 type Orders interface {
-	Open(h Host, c Conn)    // dial; Opened or Failed answers
-	Carry(c Conn, s Shot)   // the shot goes over the connection now; Freed or Closed answers
-	Close(c Conn, why Why)  // it is at rest or still being opened; nothing answers
-	Refuse(s Shot, why Why) // the shot is not sent
+	Open(h Host, c Conn)       // dial; Opened or Failed answers
+	Carry(c Conn, s Attempt)   // the attempt goes over the connection now; Freed or Closed answers
+	Close(c Conn, why Why)     // it is at rest or still being opened; nothing answers
+	Refuse(s Attempt, why Why) // the attempt is not sent
 }
 
 // Reuse is the order in which connections at rest are used.
@@ -66,7 +66,7 @@
 	Idle         policy.Nanos // after which a host closes a connection at rest
 	Age          policy.Nanos // after which one is retired
 	Reuse        Reuse
-	Wait         float64      // part of a shot's remaining time that it may wait for one that is in use; 0: none
+	Wait         float64      // part of an attempt's remaining time that it may wait for one that is in use; 0: none
 	Ahead        float64      // connections kept beyond the mean need, in standard deviations of it; 0: none are opened ahead
 	Shrink       policy.Nanos // what was at rest for so long is surplus; 0: kept until idle
 }
@@ -78,7 +78,7 @@
 	chance  func() float64 // in [0, 1)
 	hosts   map[Host]*host
 	conns   map[Conn]*conn
-	waiting map[Shot]*waiter
+	waiting map[Attempt]*waiter
 	last    Conn
 	open    int // with those that are being opened
 	shut    bool
@@ -122,23 +122,23 @@
 	born    policy.Nanos // it came up
 	since   policy.Nanos // it is in its phase
 	retire  float64      // spread of its end, in [0, 1)
-	used    int          // shots that it carried
-	from    *waiter      // opening: the shot that it is opened for
+	used    int          // attempts that it carried
+	from    *waiter      // opening: the attempt that it is opened for
 }
 
 type waiter struct {
-	shot  Shot
-	host  *host
-	until policy.Nanos
-	by    policy.Nanos // it is refused where it waits still for one in use; 0: it waits for one that is opened
-	from  *conn        // that is opened for it
+	attempt Attempt
+	host    *host
+	until   policy.Nanos
+	by      policy.Nanos // it is refused where it waits still for one in use; 0: it waits for one that is opened
+	from    *conn        // that is opened for it
 }
 
 // New makes a pool with nothing in it.
 func New(orders Orders, terms Terms, chance func() float64) *Pool {
 	terms.Balancers = max(1, terms.Balancers)
 	return &Pool{orders: orders, terms: terms, chance: chance, hosts: map[Host]*host{}, conns: map[Conn]*conn{},
-		waiting: map[Shot]*waiter{}, bound: map[Host]int{}}
+		waiting: map[Attempt]*waiter{}, bound: map[Host]int{}}
 }
 
 // Up hears that a host takes work; born is when its process started, 0 for long ago. Another start under the same name,
@@ -197,8 +197,8 @@
 	}
 }
 
-// Ask wants a connection for a shot, which is of no use after its time. It is carried or refused, now or later.
-func (p *Pool) Ask(now policy.Nanos, id Host, s Shot, until policy.Nanos) {
+// Ask wants a connection for an attempt, which is of no use after its time. It is carried or refused, now or later.
+func (p *Pool) Ask(now policy.Nanos, id Host, s Attempt, until policy.Nanos) {
 	h := p.hosts[id]
 	switch {
 	case p.shut:
@@ -219,7 +219,7 @@
 		p.carry(now, c, s)
 		return
 	}
-	w := &waiter{shot: s, host: h, until: until}
+	w := &waiter{attempt: s, host: h, until: until}
 	why := p.place(now, h)
 	if why != Unknown && !p.waits(now, h, w) {
 		p.bound[id]++
@@ -252,7 +252,7 @@
 	return nil
 }
 
-// waits tells whether a shot may wait for a connection that is in use: what is in use comes free at the pace of late,
+// waits tells whether an attempt may wait for a connection that is in use: what is in use comes free at the pace of late,
 // for those that wait already first.
 func (p *Pool) waits(now policy.Nanos, h *host, w *waiter) bool {
 	busy := h.open - h.opening - len(h.rest)
@@ -263,11 +263,11 @@
 	return expected <= p.terms.Wait*float64(w.until-now)
 }
 
-// queueMost bounds the shots that wait for connections in use: two for each are more than come free within any aim.
+// queueMost bounds the attempts that wait for connections in use: two for each are more than come free within any aim.
 func queueMost(busy int) int { return 2 * busy }
 
-// carry hands a shot to a connection.
-func (p *Pool) carry(now policy.Nanos, c *conn, s Shot) {
+// carry hands an attempt to a connection.
+func (p *Pool) carry(now policy.Nanos, c *conn, s Attempt) {
 	if c.phase == atRest {
 		p.unrest(c)
 	}
@@ -284,7 +284,7 @@
 	h.fewest = min(h.fewest, len(h.rest))
 }
 
-// begin opens a connection, for a shot that waits or for none.
+// begin opens a connection, for an attempt that waits or for none.
 func (p *Pool) begin(now policy.Nanos, h *host, w *waiter) *conn {
 	p.last++
 	c := &conn{id: p.last, host: h, process: h.process, since: now, retire: p.chance(), from: w}
@@ -319,7 +319,7 @@
 	p.next(now, c)
 }
 
-// next gives a connection that is free to the first shot that waits and still has time, or lets it rest.
+// next gives a connection that is free to the first attempt that waits and still has time, or lets it rest.
 func (p *Pool) next(now policy.Nanos, c *conn) {
 	h := c.host
 	if p.shut || h.leaving || c.process != h.process {
@@ -338,7 +338,7 @@
 			continue
 		}
 		p.leave(w)
-		p.carry(now, c, w.shot)
+		p.carry(now, c, w.attempt)
 		return
 	}
 	if p.boundOf(h) < h.open {
@@ -349,10 +349,10 @@
 	h.rest = append(h.rest, c)
 }
 
-// leave takes a shot from those that wait. What was being opened for it is for the next that nothing is opened for.
+// leave takes an attempt from those that wait. What was being opened for it is for the next that nothing is opened for.
 func (p *Pool) leave(w *waiter) {
 	h := w.host
-	delete(p.waiting, w.shot)
+	delete(p.waiting, w.attempt)
 	i := slices.Index(h.queue, w)
 	h.queue = slices.Delete(h.queue, i, i+1)
 	c := w.from
@@ -370,11 +370,11 @@
 
 func (p *Pool) refuse(w *waiter, why Why) {
 	p.leave(w)
-	p.orders.Refuse(w.shot, why)
+	p.orders.Refuse(w.attempt, why)
 }
 
-// GiveUp hears that nobody wants a shot any more that may still wait; true where it did: it is not sent.
-func (p *Pool) GiveUp(s Shot) bool {
+// GiveUp hears that nobody wants an attempt any more that may still wait; true where it did: it is not sent.
+func (p *Pool) GiveUp(s Attempt) bool {
 	w := p.waiting[s]
 	if w == nil {
 		return false
@@ -384,7 +384,7 @@
 	return true
 }
 
-// Freed hears that a connection has carried its shot and can carry another.
+// Freed hears that a connection has carried its attempt and can carry another.
 func (p *Pool) Freed(now policy.Nanos, id Conn) {
 	c := p.conns[id]
 	if c == nil || c.phase != inUse {
@@ -394,7 +394,7 @@
 	p.next(now, c)
 }
 
-// Failed hears that a connection did not come up. The shot that it was opened for is refused: its host may be dead.
+// Failed hears that a connection did not come up. The attempt that it was opened for is refused: its host may be dead.
 func (p *Pool) Failed(now policy.Nanos, id Conn) {
 	c := p.conns[id]
 	if c == nil {
@@ -411,7 +411,7 @@
 	p.forget(c.host)
 }
 
-// Closed hears that a connection has ended: with a shot, by its host while it rested, or after a fault.
+// Closed hears that a connection has ended: with an attempt, by its host while it rested, or after a fault.
 func (p *Pool) Closed(now policy.Nanos, id Conn) {
 	c := p.conns[id]
 	if c == nil {
@@ -425,7 +425,7 @@
 	p.forget(c.host)
 }
 
-// Rejected hears that a host turned away the first shot of a new connection, or broke it: it may hold too many. Its
+// Rejected hears that a host turned away the first attempt of a new connection, or broke it: it may hold too many. Its
 // bound is lowered, to grow again slowly.
 func (p *Pool) Rejected(now policy.Nanos, id Conn) {
 	c := p.conns[id]
@@ -436,8 +436,8 @@
 	h.most, h.mostAt = max(1, min(p.boundOf(h), h.open)-1), now
 }
 
-// relieve looks after the shots that wait where a connection has ended: one is opened for the first that none is opened
-// for. Where that may not be and nothing is left that could come free, they are refused: a shot that waits for nothing
+// relieve looks after the attempts that wait where a connection has ended: one is opened for the first that none is opened
+// for. Where that may not be and nothing is left that could come free, they are refused: an attempt that waits for nothing
 // would wait until its time is over.
 func (p *Pool) relieve(now policy.Nanos, h *host) {
 	for _, w := range slices.Clone(h.queue) {
@@ -478,7 +478,7 @@
 	p.forget(c.host)
 }
 
-// Shut closes what rests and refuses what waits; from now on all shots are refused.
+// Shut closes what rests and refuses what waits; from now on all attempts are refused.
 func (p *Pool) Shut() {
 	p.shut = true
 	for _, id := range p.sorted() {
@@ -506,7 +506,7 @@
 // Open is the number of connections, with those being opened.
 func (p *Pool) Open() int { return p.open }
 
-// Bound tells how often a bound of a host refused a shot since the last time, and forgets it.
+// Bound tells how often a bound of a host refused an attempt since the last time, and forgets it.
 func (p *Pool) Bound() map[Host]int {
 	b := p.bound
 	p.bound = map[Host]int{}
@@ -529,7 +529,7 @@
 // Part tells this balancer's part of all openings from now on; 0: an equal one.
 func (p *Pool) Part(part float64) { p.part = part }
 
-// Need is the largest part of a host's openings that shots here have wanted in a time that ends now; it begins anew.
+// Need is the largest part of a host's openings that attempts here have wanted in a time that ends now; it begins anew.
 func (p *Pool) Need(now policy.Nanos, over policy.Nanos) (part float64) {
 	for _, h := range p.hosts {
 		if bears := p.bears(h, now) / 2; bears > 0 {
@@ -681,7 +681,7 @@
 // TickEvery is how often Tick wants to be called.
 const TickEvery = 100 * policy.Millisecond
 
-// Tick does what comes with time: shots that waited too long, connections to retire, those to open ahead.
+// Tick does what comes with time: attempts that waited too long, connections to retire, those to open ahead.
 func (p *Pool) Tick(now policy.Nanos) {
 	for _, id := range p.sorted() {
 		h := p.hosts[id]
@@ -715,7 +715,7 @@
 	h.fewest = len(h.rest)
 }
 
-// wanted is how many connections a host needs: by Little's law the mean number in use is the rate of shots times what
+// wanted is how many connections a host needs: by Little's law the mean number in use is the rate of attempts times what
 // one takes; some deviations of it are added. A fresh host that has had nothing yet will need what the others do.
 func (p *Pool) wanted(now policy.Nanos, h *host) int {
 	mean := h.need.mean(now)
@@ -745,13 +745,13 @@
 	}
 }
 
-// need measures the shots at a host and how long each held its connection, in slots of time that are used again.
+// need measures the attempts at a host and how long each held its connection, in slots of time that are used again.
 type need struct {
 	slots [needSlots]struct {
-		turn  policy.Nanos
-		shots float64
-		held  float64 // nanoseconds
-		ended float64
+		turn     policy.Nanos
+		attempts float64
+		held     float64 // nanoseconds
+		ended    float64
 	}
 }
 
@@ -761,20 +761,20 @@
 )
 
 func (n *need) at(now policy.Nanos) *struct {
-	turn  policy.Nanos
-	shots float64
-	held  float64
-	ended float64
+	turn     policy.Nanos
+	attempts float64
+	held     float64
+	ended    float64
 } {
 	turn := now / needSlot
 	s := &n.slots[turn%needSlots]
 	if s.turn != turn {
-		s.turn, s.shots, s.held, s.ended = turn, 0, 0, 0
+		s.turn, s.attempts, s.held, s.ended = turn, 0, 0, 0
 	}
 	return s
 }
 
-func (n *need) asked(now policy.Nanos) { n.at(now).shots++ }
+func (n *need) asked(now policy.Nanos) { n.at(now).attempts++ }
 
 func (n *need) held(now, took policy.Nanos) {
 	s := n.at(now)
@@ -782,7 +782,7 @@
 	s.ended++
 }
 
-// hold is how long a shot holds its connection, in nanoseconds.
+// hold is how long an attempt holds its connection, in nanoseconds.
 func (n *need) hold() float64 {
 	held, ended := 0.0, 0.0
 	for _, s := range n.slots {
@@ -799,7 +799,7 @@
 func (n *need) mean(now policy.Nanos) float64 {
 	turn, sum, first := now/needSlot, 0.0, now
 	for _, s := range n.slots {
-		if turn-s.turn < needSlots && s.shots+s.ended > 0 {
+		if turn-s.turn < needSlots && s.attempts+s.ended > 0 {
 			sum += s.held
 			first = min(first, s.turn*needSlot)
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -15,17 +15,17 @@
 
 // log notes orders as text and holds them to what no order may break.
 type log struct {
-	text  strings.Builder
-	fault string
-	conns map[Conn]string // what is known of each connection that is open
-	host  map[Conn]Host
-	over  map[Conn]Shot
-	shots map[Shot]string // what became of each shot
-	opens []Conn
+	text     strings.Builder
+	fault    string
+	conns    map[Conn]string // what is known of each connection that is open
+	host     map[Conn]Host
+	over     map[Conn]Attempt
+	attempts map[Attempt]string // what became of each attempt
+	opens    []Conn
 }
 
 func newLog() *log {
-	return &log{conns: map[Conn]string{}, host: map[Conn]Host{}, over: map[Conn]Shot{}, shots: map[Shot]string{}}
+	return &log{conns: map[Conn]string{}, host: map[Conn]Host{}, over: map[Conn]Attempt{}, attempts: map[Attempt]string{}}
 }
 
 func (l *log) wrong(form string, args ...any) {
@@ -43,15 +43,15 @@
 	l.opens = append(l.opens, c)
 }
 
-func (l *log) Carry(c Conn, s Shot) {
+func (l *log) Carry(c Conn, s Attempt) {
 	fmt.Fprintf(&l.text, "carry %d/%d ", s, c)
 	if l.conns[c] != "up" {
-		l.wrong("shot %d goes over connection %d, which is %q", s, c, l.conns[c])
+		l.wrong("attempt %d goes over connection %d, which is %q", s, c, l.conns[c])
 	}
-	if l.shots[s] != "asked" {
-		l.wrong("shot %d is carried, and was %q", s, l.shots[s])
+	if l.attempts[s] != "asked" {
+		l.wrong("attempt %d is carried, and was %q", s, l.attempts[s])
 	}
-	l.conns[c], l.over[c], l.shots[s] = "in use", s, "carried"
+	l.conns[c], l.over[c], l.attempts[s] = "in use", s, "carried"
 }
 
 func (l *log) Close(c Conn, why Why) {
@@ -62,12 +62,12 @@
 	delete(l.conns, c)
 }
 
-func (l *log) Refuse(s Shot, why Why) {
+func (l *log) Refuse(s Attempt, why Why) {
 	fmt.Fprintf(&l.text, "refuse %d %v ", s, why)
-	if l.shots[s] != "asked" {
-		l.wrong("shot %d is refused, and was %q", s, l.shots[s])
+	if l.attempts[s] != "asked" {
+		l.wrong("attempt %d is refused, and was %q", s, l.attempts[s])
 	}
-	l.shots[s] = "refused"
+	l.attempts[s] = "refused"
 }
 
 func (l *log) took() string {
@@ -81,7 +81,7 @@
 	*log
 	p   *Pool
 	now policy.Nanos
-	n   Shot
+	n   Attempt
 }
 
 func newWorld(terms Terms, seed uint64) *world {
@@ -89,9 +89,9 @@
 	return &world{log: l, p: New(l, terms, rand.New(rand.NewPCG(seed, 1)).Float64)}
 }
 
-func (w *world) ask(h Host, left policy.Nanos) Shot {
+func (w *world) ask(h Host, left policy.Nanos) Attempt {
 	w.n++
-	w.shots[w.n] = "asked"
+	w.attempts[w.n] = "asked"
 	w.p.Ask(w.now, h, w.n, w.now+left)
 	return w.n
 }
@@ -126,8 +126,8 @@
 	}
 }
 
-// A shot that waits for one that is being opened takes one that comes free before; what was opened for it then serves
-// the next, and a dial that fails takes the shot with it that it was for, lest a dead host is never seen.
+// An attempt that waits for one that is being opened takes one that comes free before; what was opened for it then serves
+// the next, and a dial that fails takes the attempt with it that it was for, lest a dead host is never seen.
 func TestWaits(t *testing.T) {
 	w := newWorld(Terms{Most: 2, Wait: 0.5}, 1)
 	w.p.Up(0, "a", 0, false, 0)
@@ -144,7 +144,7 @@
 	w.now = 20 * ms
 	w.freed(2)
 	w.expect(t, "carry 3/2 carry 4/2")
-	w.ask("a", 5*ms) // ten milliseconds a shot are too long for it
+	w.ask("a", 5*ms) // ten milliseconds an attempt are too long for it
 	w.expect(t, "refuse 5 full")
 	w.p.Up(w.now, "b", 0, false, 0)
 	w.p.Leaves("a")
@@ -336,7 +336,7 @@
 	w.expect(t, "open a9")
 }
 
-// Whatever comes in whatever order: never over a bound, never two shots on a connection, each shot has one end, none is
+// Whatever comes in whatever order: never over a bound, never two attempts on a connection, each attempt has one end, none is
 // forgotten, and what is counted is what there is.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -377,17 +377,17 @@
 			}
 			for id, h := range w.p.hosts {
 				if len(h.queue) > 0 && h.open == len(h.rest) {
-					t.Fatalf("shots wait at %s for nothing", id)
+					t.Fatalf("attempts wait at %s for nothing", id)
 				}
 			}
 			n := 0
-			for _, what := range w.shots {
+			for _, what := range w.attempts {
 				if what == "asked" {
 					n++
 				}
 			}
 			if n != len(w.p.waiting) {
-				t.Fatalf("%d shots have no end, %d wait", n, len(w.p.waiting))
+				t.Fatalf("%d attempts have no end, %d wait", n, len(w.p.waiting))
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -426,12 +426,12 @@
 				}
 			},
 			"given up": func(t *rapid.T) {
-				sh := Shot(rapid.IntRange(1, max(1, int(w.n))).Draw(t, "shot"))
+				sh := Attempt(rapid.IntRange(1, max(1, int(w.n))).Draw(t, "attempt"))
 				if w.p.GiveUp(sh) {
-					if w.shots[sh] != "asked" {
-						t.Fatalf("shot %d, which was %q, waited", sh, w.shots[sh])
+					if w.attempts[sh] != "asked" {
+						t.Fatalf("attempt %d, which was %q, waited", sh, w.attempts[sh])
 					}
-					w.shots[sh] = "given up"
+					w.attempts[sh] = "given up"
 				}
 			},
 			"time": func(t *rapid.T) {
@@ -445,9 +445,9 @@
 		w.p.Tick(w.now)
 		w.p.Shut()
 		check()
-		for _, what := range w.shots {
+		for _, what := range w.attempts {
 			if what == "asked" {
-				t.Fatal("a shot is left waiting")
+				t.Fatal("an attempt is left waiting")
 			}
 		}
 	})
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -33,7 +33,7 @@
 // Terms are the figures of the rules.
 type Terms struct {
 	Products   []Product
-	Shots      int // of one API call at most
+	Attempts   int // of one API call at most
 	DrainGrace time.Duration
 	Slack      time.Duration // that each time limit gets for the way of bytes
 	Prompt     time.Duration // in which what is given up is answered, besides Slack
@@ -52,10 +52,10 @@
 	RightAnswer Rule = "the answer made for the call"
 	NothingLate Rule = "nothing sent after the answer"
 	Prompt      Rule = "given up is answered at once"
-	NoRepeat    Rule = "no shot that could run twice"
+	NoRepeat    Rule = "no attempt that could run twice"
 	OneEffect   Rule = "no effect twice"
 	Promise     Rule = "rate-limited only if harmless"
-	Alone       Rule = "one shot at a time, no more than allowed"
+	Alone       Rule = "one attempt at a time, no more than allowed"
 	Drains      Rule = "nothing new to a draining host"
 	ColdHosts   Rule = "no cold host pushed over"
 	GatewayUp   Rule = "gateway not stopped by cold misses"
@@ -141,7 +141,7 @@
 	doubtful map[Rule]int
 	count    map[Rule]int
 	notes    []string
-	shots    map[string][]record.Shot // by API call, in the order of their coming
+	attempts map[string][]record.Attempt // by API call, in the order of their coming
 	calls    map[string]*record.Call
 	effects  map[string][]record.Effect // by API call
 }
@@ -149,13 +149,13 @@
 // Judge checks a record.
 func Judge(rec *record.Record, terms Terms) *Verdict {
 	c := &court{terms: terms, rec: rec, checked: map[Rule]int{}, breaches: map[Rule][]Breach{}, doubtful: map[Rule]int{},
-		count: map[Rule]int{}, shots: map[string][]record.Shot{}, calls: map[string]*record.Call{}, effects: map[string][]record.Effect{}}
+		count: map[Rule]int{}, attempts: map[string][]record.Attempt{}, calls: map[string]*record.Call{}, effects: map[string][]record.Effect{}}
 	slices.SortStableFunc(rec.Lates, func(x, y record.Late) int { return cmp.Compare(x.At, y.At) })
-	for _, s := range rec.Shots {
-		c.shots[s.Call] = append(c.shots[s.Call], s)
+	for _, s := range rec.Attempts {
+		c.attempts[s.Call] = append(c.attempts[s.Call], s)
 	}
-	for _, list := range c.shots {
-		slices.SortStableFunc(list, func(x, y record.Shot) int { return cmp.Compare(x.Came, y.Came) })
+	for _, list := range c.attempts {
+		slices.SortStableFunc(list, func(x, y record.Attempt) int { return cmp.Compare(x.Came, y.Came) })
 	}
 	for _, e := range rec.Effects {
 		c.effects[e.Call] = append(c.effects[e.Call], e)
@@ -218,7 +218,7 @@
 	}
 }
 
-// story tells the shots of a call with their times.
+// story tells the attempts of a call with their times.
 func (c *court) story(call string) string {
 	var text strings.Builder
 	if k := c.calls[call]; k != nil {
@@ -227,12 +227,12 @@
 			fmt.Fprintf(&text, ", %s %s", k.Reply, at(k.Answered))
 		}
 	}
-	for i, s := range c.shots[call] {
+	for i, s := range c.attempts[call] {
 		proof := [...]string{"nothing proven", "never ran", "missed", "served"}[s.Proof]
 		if s.Swallowed {
 			proof = "lost on the way"
 		}
-		fmt.Fprintf(&text, "; shot %d at %s, came %s, ended %s, ran %v, %s", i+1, s.Server, at(s.Came), at(s.Ended), s.Ran, proof)
+		fmt.Fprintf(&text, "; attempt %d at %s, came %s, ended %s, ran %v, %s", i+1, s.Server, at(s.Came), at(s.Ended), s.Ran, proof)
 	}
 	return text.String()
 }
@@ -255,7 +255,7 @@
 	case k.Reply == record.Closed:
 		c.breach(OneAnswer, k.ID, k.Timeout, 0, "its connection was closed %v after it was sent, with no whole answer", k.Ended-k.Sent)
 	// A value goes on as it comes: what its server broke off cannot be finished, and the client can tell.
-	case k.Reply == record.CutShort && !slices.ContainsFunc(c.shots[k.ID], func(s record.Shot) bool { return !s.Answered }):
+	case k.Reply == record.CutShort && !slices.ContainsFunc(c.attempts[k.ID], func(s record.Attempt) bool { return !s.Answered }):
 		c.breach(OneAnswer, k.ID, k.Answered, 0, "its value was cut short, and no server had done that")
 	case k.Reply == record.None:
 		c.breach(OneAnswer, k.ID, k.Timeout, 0, "no answer until its client left")
@@ -269,7 +269,7 @@
 		c.checked[RightAnswer]++
 		if k.Reply == record.Wrong {
 			c.breach(RightAnswer, k.ID, k.Answered, 0, "served with what was not made for it")
-		} else if !slices.ContainsFunc(c.shots[k.ID], func(s record.Shot) bool { return s.Proof == record.WasServed }) {
+		} else if !slices.ContainsFunc(c.attempts[k.ID], func(s record.Attempt) bool { return s.Proof == record.WasServed }) {
 			c.breach(RightAnswer, k.ID, k.Answered, 0, "fulfilled, and no server answered it")
 		}
 	}
@@ -277,13 +277,13 @@
 	if k.Answered > 0 {
 		over = min(over, k.Answered)
 	}
-	for _, s := range c.shots[k.ID] {
+	for _, s := range c.attempts[k.ID] {
 		if s.Untimed {
 			continue
 		}
 		c.checked[NothingLate]++
 		if s.Came > over+slack {
-			c.breach(NothingLate, k.ID, s.Came, s.Came-over-slack, "a shot came to %s after the call was over", s.Server)
+			c.breach(NothingLate, k.ID, s.Came, s.Came-over-slack, "an attempt came to %s after the call was over", s.Server)
 		}
 	}
 	if k.Reply == record.RateLimited || k.Reply == record.Errored {
@@ -298,43 +298,43 @@
 	})
 }
 
-// prompt checks that a call which is given up is answered at once: after it came, and after the last of its shots ended.
+// prompt checks that a call which is given up is answered at once: after it came, and after the last of its attempts ended.
 func (c *court) prompt(k *record.Call) {
 	c.checked[Prompt]++
 	last := k.Sent
-	for _, s := range c.shots[k.ID] {
+	for _, s := range c.attempts[k.ID] {
 		if s.Ended == 0 || s.Ended > k.Answered {
 			return // one was still out
 		}
 		last = max(last, s.Ended)
 	}
-	// Where connections do not come up, shots that never were one are seen by the balancer alone.
+	// Where connections do not come up, attempts that never were one are seen by the balancer alone.
 	unseen := time.Duration(0)
 	if slices.ContainsFunc(c.rec.Darks, func(d record.Dark) bool {
 		return d.Balancer == k.Balancer && d.From <= k.Answered && (d.To == 0 || k.Sent <= d.To+c.terms.Connect)
 	}) {
-		unseen = time.Duration(max(0, c.terms.Shots-len(c.shots[k.ID]))) * c.terms.Connect
+		unseen = time.Duration(max(0, c.terms.Attempts-len(c.attempts[k.ID]))) * c.terms.Connect
 	}
 	if wait := k.Answered - last - c.terms.Prompt - c.terms.Slack - unseen; wait > 0 {
 		c.breach(Prompt, k.ID, k.Answered, wait, "given up %v after anything last happened to it", at(k.Answered-last))
 	}
 }
 
-// repeats checks rule two for one API call: what its shots could have done, and what was promised.
+// repeats checks rule two for one API call: what its attempts could have done, and what was promised.
 func (c *court) repeats(k *record.Call) {
-	p, shots := c.product(k), c.shots[k.ID]
-	for i, s := range shots {
+	p, attempts := c.product(k), c.attempts[k.ID]
+	for i, s := range attempts {
 		c.checked[Alone]++
-		if i >= c.terms.Shots {
-			c.breach(Alone, k.ID, s.Came, 0, "shot %d of %d allowed", i+1, c.terms.Shots)
+		if i >= c.terms.Attempts {
+			c.breach(Alone, k.ID, s.Came, 0, "attempt %d of %d allowed", i+1, c.terms.Attempts)
 		}
-		for _, old := range shots[:i] {
+		for _, old := range attempts[:i] {
 			if old.Untimed || s.Untimed {
 				continue
 			}
-			// Of a shot that was given up the end is heard late: its connection's end is a message of its own.
+			// Of an attempt that was given up the end is heard late: its connection's end is a message of its own.
 			if over := old.Ended - s.Came - c.terms.Slack; old.Ended == 0 || over > 0 {
-				c.breach(Alone, k.ID, s.Came, over, "a shot came while another one was out")
+				c.breach(Alone, k.ID, s.Came, over, "an attempt came while another one was out")
 				break
 			}
 		}
@@ -342,7 +342,7 @@
 			continue
 		}
 		c.checked[NoRepeat]++
-		for _, old := range shots[:i] {
+		for _, old := range attempts[:i] {
 			if old.Proof == record.NeverRan || old.Proof == record.Missed {
 				continue
 			}
@@ -351,7 +351,7 @@
 				break
 			}
 			if over := s.Came - old.Came - p.Window; over > 0 {
-				c.breach(NoRepeat, k.ID, s.Came, max(1, over-c.terms.Slack), "sent again %v after a shot that may have run, beyond its window of %v",
+				c.breach(NoRepeat, k.ID, s.Came, max(1, over-c.terms.Slack), "sent again %v after an attempt that may have run, beyond its window of %v",
 					at(s.Came-old.Came), p.Window)
 				break
 			}
@@ -370,29 +370,29 @@
 		return
 	}
 	c.checked[Promise]++
-	for _, s := range shots {
+	for _, s := range attempts {
 		if s.Proof == record.NeverRan || s.Proof == record.Missed {
 			continue
 		}
 		if over := k.Answered - s.Came - p.Window; p.Effect == NonIdempotent {
-			c.breach(Promise, k.ID, k.Answered, 0, "rate-limited though a shot may have run")
+			c.breach(Promise, k.ID, k.Answered, 0, "rate-limited though an attempt may have run")
 			return
 		} else if over > c.terms.Slack {
-			c.breach(Promise, k.ID, k.Answered, over-c.terms.Slack, "rate-limited %v after a shot that may have run, beyond its window", at(k.Answered-s.Came))
+			c.breach(Promise, k.ID, k.Answered, over-c.terms.Slack, "rate-limited %v after an attempt that may have run, beyond its window", at(k.Answered-s.Came))
 			return
 		}
 	}
 }
 
-// strangers are shots that no client's call stands behind.
+// strangers are attempts that no client's call stands behind.
 func (c *court) strangers() {
-	for _, s := range c.rec.Shots {
+	for _, s := range c.rec.Attempts {
 		if s.Unexpected != "" {
 			c.checked[RightAnswer]++
 			c.breach(RightAnswer, s.Call, s.Came, 0, "%s got what no client sent: %s", s.Server, s.Unexpected)
 		} else if c.calls[s.Call] == nil {
 			c.checked[RightAnswer]++
-			c.breach(RightAnswer, s.Call, s.Came, 0, "%s got a shot of a call that no client made", s.Server)
+			c.breach(RightAnswer, s.Call, s.Came, 0, "%s got an attempt of a call that no client made", s.Server)
 		}
 	}
 }
@@ -414,11 +414,11 @@
 		if k := c.calls[e.Call]; k != nil && old.Call != e.Call {
 			continue
 		}
-		// The rule lets a deduplicated call be sent again inside its window. A host that does an old shot long after
+		// The rule lets a deduplicated call be sent again inside its window. A host that does an old attempt long after
 		// both were sent has the effect twice all the same.
-		if shots := c.shots[e.Call]; len(shots) > 1 && shots[len(shots)-1].Came-shots[0].Came <= c.window(e.Call) {
+		if attempts := c.attempts[e.Call]; len(attempts) > 1 && attempts[len(attempts)-1].Came-attempts[0].Came <= c.window(e.Call) {
 			if len(c.notes) < examplesMost {
-				c.notes = append(c.notes, fmt.Sprintf("the mark %s had its effect twice, %v apart, though all its shots went inside the window%s",
+				c.notes = append(c.notes, fmt.Sprintf("the mark %s had its effect twice, %v apart, though all its attempts went inside the window%s",
 					e.Mark, at(e.At-old.At), c.story(e.Call)))
 			}
 			continue
@@ -448,7 +448,7 @@
 	for _, list := range told {
 		slices.SortStableFunc(list, func(x, y record.Told) int { return cmp.Compare(x.At, y.At) })
 	}
-	for _, s := range c.rec.Shots {
+	for _, s := range c.rec.Attempts {
 		if s.Untimed {
 			continue
 		}
@@ -473,7 +473,7 @@
 		}
 		c.checked[Drains]++
 		if over := s.Began - since - c.terms.DrainGrace - c.terms.Slack; over > 0 {
-			c.breach(Drains, s.Call, s.Began, over, "%s got a shot %v after balancer %d was told that it leaves", s.Server, at(s.Began-since), s.Balancer+1)
+			c.breach(Drains, s.Call, s.Began, over, "%s got an attempt %v after balancer %d was told that it leaves", s.Server, at(s.Began-since), s.Balancer+1)
 		}
 	}
 	// A leaving node that got nothing at all is a case too.
@@ -486,14 +486,14 @@
 	}
 }
 
-// byHand checks that what operators put back is used again: what was in use before gets a shot in usedIn.
+// byHand checks that what operators put back is used again: what was in use before gets an attempt in usedIn.
 func (c *court) byHand() {
 	for _, t := range c.rec.Tolds {
 		if !t.ByHand || !t.Up || t.At+usedIn > c.rec.Until() {
 			continue
 		}
 		c.checked[Used]++
-		if !slices.ContainsFunc(c.rec.Shots, func(s record.Shot) bool {
+		if !slices.ContainsFunc(c.rec.Attempts, func(s record.Attempt) bool {
 			return s.Balancer == t.Balancer && s.Server == t.Node && s.Began > t.At && s.Began <= t.At+usedIn
 		}) {
 			c.breach(Used, "", t.At, 0, "%s got nothing from balancer %d in %v after it was put back", t.Node, t.Balancer+1, usedIn)
@@ -559,7 +559,7 @@
 // whoSent tells each balancer's part of what a server was sent before a moment.
 func (c *court) whoSent(server string, before time.Duration) string {
 	n, work := map[int]int{}, map[int]time.Duration{}
-	for _, s := range c.rec.Shots {
+	for _, s := range c.rec.Attempts {
 		if s.Server == server && s.Came <= before && s.Came > before-c.terms.FallFor {
 			n[s.Balancer]++
 			work[s.Balancer] += s.Work
@@ -567,7 +567,7 @@
 	}
 	var parts []string
 	for _, b := range slices.Sorted(maps.Keys(n)) {
-		parts = append(parts, fmt.Sprintf("balancer %d %d shots, %v of work", b+1, n[b], at(work[b])))
+		parts = append(parts, fmt.Sprintf("balancer %d %d attempts, %v of work", b+1, n[b], at(work[b])))
 	}
 	return strings.Join(parts, "; ")
 }
@@ -582,12 +582,12 @@
 			continue
 		}
 		reads, cold := 0, 0
-		for _, s := range c.rec.Shots {
+		for _, s := range c.rec.Attempts {
 			if s.Server != record.Gateway || s.Came > f.At || s.Came <= f.At-c.terms.FallFor {
 				continue
 			}
 			reads++
-			if slices.ContainsFunc(c.shots[s.Call], func(x record.Shot) bool { return x.Cold && x.Proof == record.Missed }) {
+			if slices.ContainsFunc(c.attempts[s.Call], func(x record.Attempt) bool { return x.Cold && x.Proof == record.Missed }) {
 				cold++
 			}
 		}
--- a/internal/rehearsal/judge/judge_test.go
+++ b/internal/rehearsal/judge/judge_test.go
@@ -11,7 +11,7 @@
 
 func terms() Terms {
 	return Terms{Products: []Product{{Name: "read"}, {Name: "pay", Effect: NonIdempotent, Write: true},
-		{Name: "once", Effect: Deduplicated, Window: 2000 * ms, Write: true}}, Shots: 4, DrainGrace: 1000 * ms, Slack: 50 * ms,
+		{Name: "once", Effect: Deduplicated, Window: 2000 * ms, Write: true}}, Attempts: 4, DrainGrace: 1000 * ms, Slack: 50 * ms,
 		Prompt: 300 * ms, ColdBlame: 0.3, FallFor: 2000 * ms, Connect: 200 * ms}
 }
 
@@ -19,49 +19,49 @@
 	return record.Call{ID: "a", Base: "a", Try: 1, Product: product, Due: sent, Sent: sent, Timeout: timeout, Answered: answered, Reply: reply}
 }
 
-func shot(server string, came, ended time.Duration, proof record.Proof) record.Shot {
-	return record.Shot{Call: "a", Server: server, Began: came, Came: came, Ended: ended, Proof: proof, Answered: proof != record.Nothing}
+func attempt(server string, came, ended time.Duration, proof record.Proof) record.Attempt {
+	return record.Attempt{Call: "a", Server: server, Began: came, Came: came, Ended: ended, Proof: proof, Answered: proof != record.Nothing}
 }
 
-// What each rule says of one call and its shots. The far side of each bound is a breach, the near side is none.
+// What each rule says of one call and its attempts. The far side of each bound is a breach, the near side is none.
 func TestRules(t *testing.T) {
-	served := func(c, e time.Duration) record.Shot { return shot("n", c, e, record.WasServed) }
+	served := func(c, e time.Duration) record.Attempt { return attempt("n", c, e, record.WasServed) }
 	for name, row := range map[string]struct {
-		call  record.Call
-		shots []record.Shot
-		told  []record.Told
-		dark  bool
-		want  Rule
+		call     record.Call
+		attempts []record.Attempt
+		told     []record.Told
+		dark     bool
+		want     Rule
 	}{
-		"served":             {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), shots: []record.Shot{served(1*ms, 29*ms)}},
-		"served by nobody":   {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 29*ms, record.Nothing)}, want: RightAnswer},
-		"after its time":     {call: call(0, 0, 900*ms, 960*ms, record.Errored), shots: []record.Shot{shot("n", 1*ms, 900*ms, record.Nothing)}, want: OneAnswer},
-		"within the slack":   {call: call(0, 0, 900*ms, 940*ms, record.Errored), shots: []record.Shot{shot("n", 1*ms, 900*ms, record.Nothing)}},
-		"closed":             {call: call(0, 0, 900*ms, 0, record.Closed), want: OneAnswer},
-		"cut by its server":  {call: call(0, 0, 900*ms, 30*ms, record.CutShort), shots: []record.Shot{shot("n", 1*ms, 29*ms, record.Nothing)}},
-		"cut on the way":     {call: call(0, 0, 900*ms, 30*ms, record.CutShort), shots: []record.Shot{served(1*ms, 29*ms)}, want: OneAnswer},
-		"a shot afterwards":  {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), shots: []record.Shot{served(1*ms, 29*ms), served(90*ms, 99*ms)}, want: NothingLate},
-		"held back":          {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 300*ms, record.NeverRan)}, want: Prompt},
-		"its shot was out":   {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 705*ms, record.Nothing)}},
-		"dark connections":   {call: call(0, 0, 1900*ms, 700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 300*ms, record.NeverRan)}, dark: true},
-		"held in the dark":   {call: call(0, 0, 1900*ms, 1700*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 300*ms, record.NeverRan)}, dark: true, want: Prompt},
-		"pay again":          {call: call(1, 0, 900*ms, 60*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 20*ms, record.Nothing), served(30*ms, 50*ms)}, want: NoRepeat},
-		"pay that never ran": {call: call(1, 0, 900*ms, 60*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 20*ms, record.NeverRan), served(30*ms, 50*ms)}},
-		"pay, rate-limited":  {call: call(1, 0, 900*ms, 25*ms, record.RateLimited), shots: []record.Shot{shot("n", 1*ms, 20*ms, record.Nothing)}, want: Promise},
-		"once in its window": {call: call(2, 0, 5000*ms, 1960*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 20*ms, record.Nothing), served(1930*ms, 1950*ms)}},
-		"once after it":      {call: call(2, 0, 5000*ms, 2200*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 20*ms, record.Nothing), served(2100*ms, 2150*ms)}, want: NoRepeat},
-		"two at a time":      {call: call(0, 0, 900*ms, 160*ms, record.Fulfilled), shots: []record.Shot{shot("n", 1*ms, 150*ms, record.Nothing), served(30*ms, 150*ms)}, want: Alone},
-		"a drained host": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), shots: []record.Shot{served(2060*ms, 2100*ms)},
+		"served":                {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms)}},
+		"served by nobody":      {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.Nothing)}, want: RightAnswer},
+		"after its time":        {call: call(0, 0, 900*ms, 960*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.Nothing)}, want: OneAnswer},
+		"within the slack":      {call: call(0, 0, 900*ms, 940*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.Nothing)}},
+		"closed":                {call: call(0, 0, 900*ms, 0, record.Closed), want: OneAnswer},
+		"cut by its server":     {call: call(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.Nothing)}},
+		"cut on the way":        {call: call(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{served(1*ms, 29*ms)}, want: OneAnswer},
+		"an attempt afterwards": {call: call(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms), served(90*ms, 99*ms)}, want: NothingLate},
+		"held back":             {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, want: Prompt},
+		"its attempt was out":   {call: call(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 705*ms, record.Nothing)}},
+		"dark connections":      {call: call(0, 0, 1900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, dark: true},
+		"held in the dark":      {call: call(0, 0, 1900*ms, 1700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, dark: true, want: Prompt},
+		"pay again":             {call: call(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.Nothing), served(30*ms, 50*ms)}, want: NoRepeat},
+		"pay that never ran":    {call: call(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NeverRan), served(30*ms, 50*ms)}},
+		"pay, rate-limited":     {call: call(1, 0, 900*ms, 25*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.Nothing)}, want: Promise},
+		"once in its window":    {call: call(2, 0, 5000*ms, 1960*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.Nothing), served(1930*ms, 1950*ms)}},
+		"once after it":         {call: call(2, 0, 5000*ms, 2200*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.Nothing), served(2100*ms, 2150*ms)}, want: NoRepeat},
+		"two at a time":         {call: call(0, 0, 900*ms, 160*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 150*ms, record.Nothing), served(30*ms, 150*ms)}, want: Alone},
+		"a drained host": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 1000 * ms}}, want: Drains},
-		"told twice": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), shots: []record.Shot{served(2060*ms, 2100*ms)},
+		"told twice": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 1000 * ms}, {Node: "n", At: 1500 * ms}}, want: Drains},
-		"back again": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), shots: []record.Shot{served(2060*ms, 2100*ms)},
+		"back again": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 500 * ms}, {Node: "n", Up: true, At: 1500 * ms}}},
-		"within the grace": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), shots: []record.Shot{served(2040*ms, 2100*ms)},
+		"within the grace": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2040*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 1000 * ms}}},
 	} {
 		rec := record.New()
-		rec.Calls, rec.Shots, rec.Tolds = []record.Call{row.call}, row.shots, row.told
+		rec.Calls, rec.Attempts, rec.Tolds = []record.Call{row.call}, row.attempts, row.told
 		if row.dark {
 			rec.Darks = []record.Dark{{To: 100 * ms}}
 		}
@@ -83,7 +83,7 @@
 func TestDoubt(t *testing.T) {
 	rec := record.New()
 	rec.Calls = []record.Call{call(0, 0, 900*ms, 970*ms, record.Errored)}
-	rec.Shots = []record.Shot{shot("n", 1*ms, 960*ms, record.Nothing)}
+	rec.Attempts = []record.Attempt{attempt("n", 1*ms, 960*ms, record.Nothing)}
 	rec.Lates = []record.Late{{At: 500 * ms, By: 15 * ms}}
 	v := Judge(rec, terms())
 	if v.Broken() || !v.Unsure() {
@@ -113,7 +113,7 @@
 	listed := record.Told{Node: "n", At: 2 * second, Up: true}
 	upgrade := record.Upgrade{From: 3 * second, To: 4 * second, Ready: second}
 	late := call(0, 20*second, 21*second, 20*second+30*ms, record.RateLimited) // the day goes on
-	at := func(when time.Duration) record.Shot { return shot("n", when, when+5*ms, record.WasServed) }
+	at := func(when time.Duration) record.Attempt { return attempt("n", when, when+5*ms, record.WasServed) }
 	closed := func(id string, when time.Duration) record.Call {
 		c := call(0, when, when+second, 0, record.Closed)
 		c.ID, c.Excused = id, true
@@ -121,17 +121,17 @@
 	}
 	for name, row := range map[string]struct {
 		tolds    []record.Told
-		shots    []record.Shot
+		attempts []record.Attempt
 		upgrades []record.Upgrade
 		calls    []record.Call
 		doors    []record.Door
 		want     Rule
 	}{
-		"out and back":                 {tolds: []record.Told{out, listed, back}, shots: []record.Shot{at(1500 * ms), at(6 * second)}},
-		"sent to though it is out":     {tolds: []record.Told{out, listed, back}, shots: []record.Shot{at(3 * second), at(6 * second)}, want: Drains},
-		"sent to by a newer process":   {tolds: []record.Told{out}, shots: []record.Shot{at(3500 * ms)}, upgrades: []record.Upgrade{upgrade}, want: Drains},
+		"out and back":                 {tolds: []record.Told{out, listed, back}, attempts: []record.Attempt{at(1500 * ms), at(6 * second)}},
+		"sent to though it is out":     {tolds: []record.Told{out, listed, back}, attempts: []record.Attempt{at(3 * second), at(6 * second)}, want: Drains},
+		"sent to by a newer process":   {tolds: []record.Told{out}, attempts: []record.Attempt{at(3500 * ms)}, upgrades: []record.Upgrade{upgrade}, want: Drains},
 		"left unused":                  {tolds: []record.Told{out, back}, want: Used},
-		"used too late":                {tolds: []record.Told{out, back}, shots: []record.Shot{at(11 * second)}, want: Used},
+		"used too late":                {tolds: []record.Told{out, back}, attempts: []record.Attempt{at(11 * second)}, want: Used},
 		"two turned back":              {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 3200*ms), closed("c", 3300*ms)}},
 		"three turned back":            {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 3200*ms), closed("c", 3300*ms), closed("d", 3400*ms)}, want: NoneBack},
 		"three closed at another time": {upgrades: []record.Upgrade{upgrade}, calls: []record.Call{closed("b", 8*second), closed("c", 8*second), closed("d", 8*second)}},
@@ -141,11 +141,11 @@
 	} {
 		rec := record.New()
 		rec.Calls, rec.Tolds, rec.Upgrades, rec.Doors = append(row.calls, late), row.tolds, row.upgrades, row.doors
-		rec.Shots = row.shots
-		for i := range rec.Shots { // shots of other calls, which all had their answer with them
-			c := call(0, rec.Shots[i].Began-ms, rec.Shots[i].Began+second, rec.Shots[i].Ended+ms, record.Fulfilled)
-			c.ID = "shot" + string(rune('0'+i))
-			rec.Shots[i].Call = c.ID
+		rec.Attempts = row.attempts
+		for i := range rec.Attempts { // attempts of other calls, which all had their answer with them
+			c := call(0, rec.Attempts[i].Began-ms, rec.Attempts[i].Began+second, rec.Attempts[i].Ended+ms, record.Fulfilled)
+			c.ID = "attempt" + string(rune('0'+i))
+			rec.Attempts[i].Call = c.ID
 			rec.Calls = append(rec.Calls, c)
 		}
 		var got Rule
--- a/internal/rehearsal/measure/evidence.go
+++ b/internal/rehearsal/measure/evidence.go
@@ -22,8 +22,8 @@
 
 // EvidenceSide are means over the seeds.
 type EvidenceSide struct {
-	AtBad    float64 // shots a day that came to bad nodes while they were bad
-	Vain     float64 // shots a day that brought nothing, at any node
+	AtBad    float64 // attempts a day that came to bad nodes while they were bad
+	Vain     float64 // attempts a day that brought nothing, at any node
 	Service  float64
 	Worst10  float64 // the worst ten seconds of all days
 	WorstDay float64 // service of the worst day
@@ -126,7 +126,7 @@
 			}
 			p, rep := &plays[i], report.Of(res)
 			p.Service, p.Worst10, p.Broken, p.Took = rep.Service.Whole, rep.Service.Worst10s, len(rep.Verdict.BrokenRules()), rep.Took
-			for _, s := range res.Record.Shots {
+			for _, s := range res.Record.Attempts {
 				if s.Server != record.Gateway && s.Proof != record.WasServed && s.Proof != record.Missed {
 					p.Vain++
 				}
@@ -173,7 +173,7 @@
 		name string
 		s    EvidenceSide
 	}{{"alone", e.Alone}, {"told", e.Told}} {
-		fmt.Fprintf(to, "  %-6s %7.0f shots at bad nodes, %7.0f in vain; service %.4f, worst day %.4f, worst 10 s %.3f; %d rules broken; %v to play\n",
+		fmt.Fprintf(to, "  %-6s %7.0f attempts at bad nodes, %7.0f in vain; service %.4f, worst day %.4f, worst 10 s %.3f; %d rules broken; %v to play\n",
 			x.name, x.s.AtBad, x.s.Vain, x.s.Service, x.s.WorstDay, x.s.Worst10, x.s.Broken, x.s.Took.Round(time.Millisecond))
 	}
 	worst := 0.0
--- a/internal/rehearsal/measure/measure.go
+++ b/internal/rehearsal/measure/measure.go
@@ -43,7 +43,7 @@
 
 func day(perS float64, length time.Duration, seed uint64) *scenario.Day {
 	d := &scenario.Day{Name: fmt.Sprintf("%.0f-per-s", perS), Length: scenario.Span(length), Seed: seed,
-		Fleet: scenario.Fleet{Zones: []string{"here"}, Balancers: 1, MemoryMB: 1024, Sockets: 8192, Shots: 4, Mode: scenario.Aside},
+		Fleet: scenario.Fleet{Zones: []string{"here"}, Balancers: 1, MemoryMB: 1024, Sockets: 8192, Attempts: 4, Mode: scenario.Aside},
 		Nodes: []scenario.Node{{Name: "n", Zone: "here", Count: nodes, Cores: 64, Speed: 1, Queue: 1 << 16, KeepMB: 64, Connections: 1 << 15,
 			Idle: scenario.Span(time.Minute), ColdFrom: 1}},
 		Gateway:  scenario.Gateway{Slots: 64, Time: scenario.Span(time.Millisecond), Queue: 1 << 12},
--- a/internal/rehearsal/measure/sizes.go
+++ b/internal/rehearsal/measure/sizes.go
@@ -16,7 +16,7 @@
 )
 
 // Size is what one balancer takes with so many hosts in its list and so many balancers in its settings, while nobody calls it:
-// what a host costs that has no shot and no connection.
+// what a host costs that has no attempt and no connection.
 type Size struct {
 	Hosts, Balancers int
 	Ready            time.Duration // from the start of the process until it answers
--- a/internal/rehearsal/model/chance.go
+++ b/internal/rehearsal/model/chance.go
@@ -23,7 +23,7 @@
 	Constant    Law = "constant"
 )
 
-// Work draws how much work a call is: the same for each of its shots and in each run with the seed, wherever and
+// Work draws how much work a call is: the same for each of its attempts and in each run with the seed, wherever and
 // whenever it is done. Variation is the standard deviation over the mean; the exponential law has 1.
 func Work(seed uint64, id string, law Law, mean time.Duration, variation float64) time.Duration {
 	if law == Constant || mean <= 0 {
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -48,7 +48,7 @@
 	NotTaken  bool          // no balancer took it: no connection came up
 }
 
-// Proof is what an answer to a shot proves.
+// Proof is what an answer to an attempt proves.
 type Proof int
 
 const (
@@ -58,8 +58,8 @@
 	WasServed              // a value or a receipt
 )
 
-// Shot is one command of a balancer as a server saw it.
-type Shot struct {
+// Attempt is one command of a balancer as a server saw it.
+type Attempt struct {
 	Call       string
 	Balancer   int
 	Server     string        // a node or Gateway
@@ -215,7 +215,7 @@
 type Record struct {
 	mu       sync.Mutex
 	Calls    []Call
-	Shots    []Shot
+	Attempts []Attempt
 	Tolds    []Told
 	Effects  []Effect
 	Falls    []Fall
@@ -247,7 +247,7 @@
 	return &Record{Strains: map[string]float64{}, ColdLast: map[string]time.Duration{}}
 }
 
-// Add appends to one of the record's lists: r.Add(func() { r.Shots = append(r.Shots, s) }).
+// Add appends to one of the record's lists: r.Add(func() { r.Attempts = append(r.Attempts, s) }).
 func (r *Record) Add(change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rehearsal/report/html.go
+++ b/internal/rehearsal/report/html.go
@@ -130,10 +130,10 @@
 
 func (r *Report) nodePlot() (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text = "shots a second, by server"
+	p.Title.Text = "attempts a second, by server"
 	of := map[string]func(Second) float64{}
 	for _, x := range r.Servers {
-		of[x.Name] = func(s Second) float64 { return float64(s.Shots[x.Name]) }
+		of[x.Name] = func(s Second) float64 { return float64(s.Attempts[x.Name]) }
 	}
 	return p, r.lines(p, of)
 }
--- a/internal/rehearsal/report/report.go
+++ b/internal/rehearsal/report/report.go
@@ -100,7 +100,7 @@
 // Server is what one node or the gateway saw.
 type Server struct {
 	Name     string  `json:"name"`
-	Shots    int     `json:"shots"`
+	Attempts int     `json:"shots"`
 	Missed   int     `json:"missed"`
 	Opened   int     `json:"connections_opened"`
 	MostOpen int     `json:"most_opened_in_a_second"`
@@ -109,13 +109,13 @@
 
 // Second is one second of the day.
 type Second struct {
-	Asked   float64        `json:"asked"`
-	Served  float64        `json:"served"`
-	P50     time.Duration  `json:"p50_ns"`
-	P99     time.Duration  `json:"p99_ns"`
-	Shots   map[string]int `json:"shots"`
-	Opened  int            `json:"opened"`
-	Refused int            `json:"rate_limited"`
+	Asked    float64        `json:"asked"`
+	Served   float64        `json:"served"`
+	P50      time.Duration  `json:"p50_ns"`
+	P99      time.Duration  `json:"p99_ns"`
+	Attempts map[string]int `json:"shots"`
+	Opened   int            `json:"opened"`
+	Refused  int            `json:"rate_limited"`
 }
 
 // Of makes the report of a rehearsal.
@@ -132,7 +132,7 @@
 		r.Outcome = Unsure
 	}
 	for i := range r.Seconds {
-		r.Seconds[i].Shots = map[string]int{}
+		r.Seconds[i].Attempts = map[string]int{}
 	}
 	r.calls(d, res.Record)
 	r.machines(d, res.Record)
@@ -264,12 +264,12 @@
 		}
 		return servers[name]
 	}
-	for _, s := range rec.Shots {
-		at(s.Server).Shots++
+	for _, s := range rec.Attempts {
+		at(s.Server).Attempts++
 		if s.Proof == record.Missed {
 			at(s.Server).Missed++
 		}
-		r.second(s.Came).Shots[s.Server]++
+		r.second(s.Came).Attempts[s.Server]++
 	}
 	opened := map[string]map[int]int{}
 	for _, o := range rec.Openings {
@@ -340,7 +340,7 @@
 		fmt.Fprintf(to, "%s: %d calls, %d lives, %.0f MB, %d descriptors, %v of processor\n", b.Name, b.Calls, b.Lives, b.PeakMB, b.Sockets, b.CPU)
 	}
 	for _, x := range r.Servers {
-		fmt.Fprintf(to, "%s: %d shots, %d missed, %d connections (at most %d in a second)", x.Name, x.Shots, x.Missed, x.Opened, x.MostOpen)
+		fmt.Fprintf(to, "%s: %d attempts, %d missed, %d connections (at most %d in a second)", x.Name, x.Attempts, x.Missed, x.Opened, x.MostOpen)
 		if x.Strain > 0 {
 			fmt.Fprintf(to, ", sent at most %.2f times what it could do", x.Strain)
 		}
--- a/internal/rehearsal/runner/config.go
+++ b/internal/rehearsal/runner/config.go
@@ -45,7 +45,7 @@
 	settings := m{
 		"balancers": d.Fleet.Balancers, "areas": d.Fleet.Zones, "locality": zone, "hostTypes": []string{"cache", "origin"},
 		"discovery": "automatic", "weights": "nominal", "tickNs": tickNs, "extra": extra,
-		"caps": m{"mayCancel": true, "mostShots": d.Fleet.Shots, "secondCopies": false, "retryAfter": d.Clients.ComeBack > 0,
+		"caps": m{"mayCancel": true, "mostShots": d.Fleet.Attempts, "secondCopies": false, "retryAfter": d.Clients.ComeBack > 0,
 			"maxRetryAfterNs": int64(d.Clients.ComeBack), "connectTimeoutNs": int64(connectTimeout), "keepaliveNs": int64(idle),
 			"maxOpen": 20000},
 		"rules": m{"coldFrom": coldFrom, "rampTimeNs": int64(warmFor), "fallMultiple": d.Rules.FallMultiple,
--- a/internal/rehearsal/runner/runner.go
+++ b/internal/rehearsal/runner/runner.go
@@ -344,7 +344,7 @@
 	}()
 }
 
-// settleWait is given to shots that still run when the last call is over.
+// settleWait is given to attempts that still run when the last call is over.
 const settleWait = 300 * time.Millisecond
 
 // Play plays the day on the stage, from now on.
@@ -417,7 +417,7 @@
 	if s.W.Gateway != nil {
 		s.W.Gateway.Strain()
 	}
-	time.Sleep(20 * time.Millisecond) // for the last shots' ends to be noted
+	time.Sleep(20 * time.Millisecond) // for the last attempts' ends to be noted
 }
 
 // Straight makes the callers speak to a node in place of the balancers.
@@ -433,7 +433,7 @@
 	if err != nil {
 		own = &operator.File{} // the balancers say what is wrong with it
 	}
-	t := judge.Terms{Mates: mates, Openings: own.Connections.Openings, Shots: d.Fleet.Shots, DrainGrace: d.Rules.DrainGrace.D(), Slack: d.Rules.Slack.D(), Prompt: d.Rules.Prompt.D(),
+	t := judge.Terms{Mates: mates, Openings: own.Connections.Openings, Attempts: d.Fleet.Attempts, DrainGrace: d.Rules.DrainGrace.D(), Slack: d.Rules.Slack.D(), Prompt: d.Rules.Prompt.D(),
 		ColdBlame: d.Rules.ColdBlame, FallFor: d.Rules.FallFor.D(), Connect: connectTimeout}
 	kinds := map[string]judge.Effect{scenario.Idempotent: judge.Idempotent, scenario.Deduplicated: judge.Deduplicated,
 		scenario.NonIdempotent: judge.NonIdempotent}
--- a/internal/rehearsal/scenario/read.go
+++ b/internal/rehearsal/scenario/read.go
@@ -120,7 +120,7 @@
 	within(c, "fleet.cross", d.Fleet.Cross, 0, Span(time.Second))
 	within(c, "fleet.memory_mb", d.Fleet.MemoryMB, 16, 1<<16)
 	within(c, "fleet.sockets", d.Fleet.Sockets, 64, 1<<16)
-	within(c, "fleet.shots", d.Fleet.Shots, 1, 16)
+	within(c, "fleet.shots", d.Fleet.Attempts, 1, 16)
 	if d.Fleet.Mode != Aside && d.Fleet.Mode != Through {
 		c.Bad("fleet.mode", "expected aside or through, got %q", d.Fleet.Mode)
 	}
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -53,7 +53,7 @@
 	Cross     Span     `toml:"cross"`     // one way between zones
 	MemoryMB  int      `toml:"memory_mb"` // of each balancer
 	Sockets   int      `toml:"sockets"`
-	Shots     int      `toml:"shots"`   // of one API call at most
+	Attempts  int      `toml:"shots"`   // of one API call at most
 	Mode      string   `toml:"mode"`    // aside: nodes answer a miss and the balancer asks the gateway; through: nodes ask it
 	Reports   bool     `toml:"reports"` // nodes add their load to answers
 }
@@ -161,7 +161,7 @@
 	Jitter  Span    `toml:"jitter"`
 	Limits  bool    `toml:"limits"` // parts of what holds for the fleet move
 	Lease   Span    `toml:"lease"`
-	// Evidence has balancers tell each other how shots at nodes ended.
+	// Evidence has balancers tell each other how attempts at nodes ended.
 	Evidence bool `toml:"evidence"`
 }
 
@@ -246,7 +246,7 @@
 	return Day{
 		Length: Span(30 * time.Second), Seed: 1,
 		Fleet: Fleet{Zones: []string{"here"}, Balancers: 2, Same: Span(200 * time.Microsecond), Cross: Span(10 * time.Millisecond),
-			MemoryMB: 192, Sockets: 1024, Shots: 4, Mode: Aside},
+			MemoryMB: 192, Sockets: 1024, Attempts: 4, Mode: Aside},
 		Gateway: Gateway{Slots: 16, Time: Span(150 * time.Millisecond), Queue: 32, FallMultiple: 3, FallFor: Span(3 * time.Second),
 			StopFor: Span(4 * time.Second)},
 		Register: Register{Late: Range{Span(500 * time.Millisecond), Span(2 * time.Second)}},
--- a/internal/rehearsal/standin/gateway.go
+++ b/internal/rehearsal/standin/gateway.go
@@ -161,9 +161,9 @@
 	headNotProcessed = "X-Not-Processed"
 )
 
-// serve answers one shot of a balancer.
+// serve answers one attempt of a balancer.
 func (g *Gateway) serve(balancer int, rw http.ResponseWriter, r *http.Request) {
-	s := record.Shot{Call: r.Header.Get(headID), Balancer: balancer, Server: record.Gateway, Began: g.w.Now(), Write: r.Method == http.MethodPut}
+	s := record.Attempt{Call: r.Header.Get(headID), Balancer: balancer, Server: record.Gateway, Began: g.w.Now(), Write: r.Method == http.MethodPut}
 	way := g.w.Day.Fleet.Same.D()
 	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/"))
 	_, readErr := io.Copy(io.Discard, io.LimitReader(r.Body, mostBody))
@@ -184,7 +184,7 @@
 		}
 	}
 	reset, fail := g.troubled()
-	note := func() { g.w.Rec.Add(func() { g.w.Rec.Shots = append(g.w.Rec.Shots, s) }) }
+	note := func() { g.w.Rec.Add(func() { g.w.Rec.Attempts = append(g.w.Rec.Attempts, s) }) }
 	if fail {
 		s.Ended, s.Answered = g.w.Now(), true
 		note()
--- a/internal/rehearsal/standin/link.go
+++ b/internal/rehearsal/standin/link.go
@@ -148,9 +148,9 @@
 		c.Close()
 		for line := range bytes.Lines(buf[:n]) {
 			if cmd, fault := memcache.Parse(bytes.TrimRight(line, "\r\n")); fault == nil && !cmd.Noop {
-				s := record.Shot{Call: string(cmd.ID), Balancer: l.balancer, Server: l.node, Began: dark.From, Came: dark.From, Ended: dark.To,
+				s := record.Attempt{Call: string(cmd.ID), Balancer: l.balancer, Server: l.node, Began: dark.From, Came: dark.From, Ended: dark.To,
 					Write: cmd.Write, Swallowed: true, Untimed: true}
-				w.Rec.Add(func() { w.Rec.Shots = append(w.Rec.Shots, s) })
+				w.Rec.Add(func() { w.Rec.Attempts = append(w.Rec.Attempts, s) })
 			}
 		}
 	}
--- a/internal/rehearsal/standin/node.go
+++ b/internal/rehearsal/standin/node.go
@@ -20,17 +20,17 @@
 	links []*link
 	player
 
-	mu     sync.Mutex
-	m      *model.Node // nil while it is down
-	born   time.Duration
-	cold   bool
-	open   int // connections
-	spoil  float64
-	reset  float64
-	fail   float64
-	chance *rand.Rand
-	fetch  map[string][]*shot // through: shots that wait for a key that is being fetched
-	shots  map[*shot]struct{} // in hand
+	mu       sync.Mutex
+	m        *model.Node // nil while it is down
+	born     time.Duration
+	cold     bool
+	open     int // connections
+	spoil    float64
+	reset    float64
+	fail     float64
+	chance   *rand.Rand
+	fetch    map[string][]*attempt // through: attempts that wait for a key that is being fetched
+	attempts map[*attempt]struct{} // in hand
 }
 
 // AddNode makes a node and opens its links, at the addresses of one that has ended if that is given. A node that is not
@@ -56,7 +56,7 @@
 	n.mu.Lock()
 	now := n.w.Now()
 	n.m = model.NewNode(n.w.Day.NodeTerms(n.Group), now, cold, model.Stream(n.w.Day.Seed, "pauses "+n.ID))
-	n.born, n.cold, n.fetch, n.shots = 0, cold, map[string][]*shot{}, map[*shot]struct{}{}
+	n.born, n.cold, n.fetch, n.attempts = 0, cold, map[string][]*attempt{}, map[*attempt]struct{}{}
 	if cold {
 		n.born = now
 		n.w.Rec.Add(func() { n.w.Rec.ColdLast[n.ID] = now + n.Group.WarmFor.D() })
@@ -105,7 +105,7 @@
 	}
 	n.w.Rec.Strain(n.ID, n.m.Strain())
 	n.m = nil
-	for s := range n.shots {
+	for s := range n.attempts {
 		s.finish(answer{lost: true})
 	}
 }
@@ -192,7 +192,7 @@
 // advance plays the model up to a moment and ends what is done. Under n.mu.
 func (n *Node) advance(now time.Duration) {
 	for _, d := range n.m.Advance(now) {
-		s, ok := d.Tag.(*shot)
+		s, ok := d.Tag.(*attempt)
 		if !ok {
 			continue
 		}
@@ -225,7 +225,7 @@
 }
 
 // through asks the gateway for a read's value, once for all that wait for the key, or hands a write on. Under n.mu.
-func (n *Node) through(s *shot, d model.Done) {
+func (n *Node) through(s *attempt, d model.Done) {
 	j := model.Job{ID: d.ID, Key: d.Key, Mark: d.Mark, Write: d.Write}
 	if d.Write {
 		go n.w.Gateway.take(j, func(r result) { // on its own: the gateway's lock is taken before a node's
@@ -259,8 +259,8 @@
 	})
 }
 
-// offer sends a shot to the model.
-func (n *Node) offer(s *shot) {
+// offer sends an attempt to the model.
+func (n *Node) offer(s *attempt) {
 	n.mu.Lock()
 	if n.m == nil {
 		n.mu.Unlock()
@@ -270,7 +270,7 @@
 	now := n.w.Now()
 	n.advance(now)
 	s.cold = n.m.Cold(now)
-	n.shots[s] = struct{}{}
+	n.attempts[s] = struct{}{}
 	j := model.Job{ID: s.id, Key: s.key, Mark: s.mark, Write: s.write, Work: s.work, Tag: s}
 	if !n.m.Offer(now, j) {
 		s.finish(answer{busy: true})
--- a/internal/rehearsal/standin/serve.go
+++ b/internal/rehearsal/standin/serve.go
@@ -17,8 +17,8 @@
 	"streamrail/internal/rehearsal/record"
 )
 
-// shot is one command of a balancer at a node.
-type shot struct {
+// attempt is one command of a balancer at a node.
+type attempt struct {
 	id, key, mark string
 	write         bool
 	work          time.Duration
@@ -31,15 +31,15 @@
 	done chan answer // holds one
 }
 
-// answer is what a node has to say to a shot.
+// answer is what a node has to say to an attempt.
 type answer struct {
 	value                             []byte
 	receipt, hit                      bool
 	miss, busy, failed, lost, invalid bool
-	text                              string // of a command that is no shot
+	text                              string // of a command that is no attempt
 }
 
-func (s *shot) finish(a answer) { s.once.Do(func() { s.done <- a }) }
+func (s *attempt) finish(a answer) { s.once.Do(func() { s.done <- a }) }
 
 // mostBegun is how many commands of a connection are begun at a time; more are read when those before are answered.
 const mostBegun = 32
@@ -60,7 +60,7 @@
 	n.w.Rec.Add(func() {
 		n.w.Rec.Openings = append(n.w.Rec.Openings, record.Opening{Server: n.ID, Balancer: l.balancer, At: now, Refused: tooMany})
 	})
-	queue := make(chan *shot, mostBegun)
+	queue := make(chan *attempt, mostBegun)
 	var begun atomic.Int32
 	gone := make(chan struct{}) // the balancer's end of the connection is over
 	var answered sync.WaitGroup
@@ -114,8 +114,8 @@
 }
 
 // read takes the next command.
-func (n *Node) read(l *link, conn *net.TCPConn, in *bufio.Reader) (*shot, error) {
-	s := &shot{began: n.w.Now(), done: make(chan answer, 1)}
+func (n *Node) read(l *link, conn *net.TCPConn, in *bufio.Reader) (*attempt, error) {
+	s := &attempt{began: n.w.Now(), done: make(chan answer, 1)}
 	conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // for a command that has begun
 	line, err := in.ReadSlice('\n')
 	if err != nil {
@@ -151,7 +151,7 @@
 }
 
 // probe answers what is asked of the node itself.
-func (n *Node) probe(s *shot) {
+func (n *Node) probe(s *attempt) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.m == nil {
@@ -168,8 +168,8 @@
 	s.finish(answer{text: text})
 }
 
-// answers writes what comes of the shots of a connection, in their order.
-func (n *Node) answers(l *link, conn *net.TCPConn, queue chan *shot, gone chan struct{}, begun *atomic.Int32) {
+// answers writes what comes of the attempts of a connection, in their order.
+func (n *Node) answers(l *link, conn *net.TCPConn, queue chan *attempt, gone chan struct{}, begun *atomic.Int32) {
 	broken := false
 	for s := range queue {
 		broken = n.answer(l, conn, s, gone, broken)
@@ -177,8 +177,8 @@
 	}
 }
 
-// answer waits for what comes of a shot and writes it; it tells whether the connection is broken then.
-func (n *Node) answer(l *link, conn *net.TCPConn, s *shot, gone chan struct{}, broken bool) bool {
+// answer waits for what comes of an attempt and writes it; it tells whether the connection is broken then.
+func (n *Node) answer(l *link, conn *net.TCPConn, s *attempt, gone chan struct{}, broken bool) bool {
 	var a answer
 	select {
 	case a = <-s.done:
@@ -212,8 +212,8 @@
 	return !keep
 }
 
-// leave hears that the balancer gave a shot up: it may still run, and is noted as what it became when that is known.
-func (n *Node) leave(l *link, s *shot, a *answer) {
+// leave hears that the balancer gave an attempt up: it may still run, and is noted as what it became when that is known.
+func (n *Node) leave(l *link, s *attempt, a *answer) {
 	ended := n.w.Now()
 	if a != nil {
 		n.settle(l, s, *a, false, ended)
@@ -231,19 +231,19 @@
 	go func() { n.settle(l, s, <-s.done, false, ended) }() // the node does it, or ends
 }
 
-// settle notes a shot that has ended.
-func (n *Node) settle(l *link, s *shot, a answer, whole bool, ended time.Duration) {
+// settle notes an attempt that has ended.
+func (n *Node) settle(l *link, s *attempt, a answer, whole bool, ended time.Duration) {
 	n.mu.Lock()
-	delete(n.shots, s)
+	delete(n.attempts, s)
 	n.mu.Unlock()
 	n.noteAt(l, s, a, whole, ended)
 }
 
-func (n *Node) note(l *link, s *shot, a answer, whole bool) { n.noteAt(l, s, a, whole, n.w.Now()) }
+func (n *Node) note(l *link, s *attempt, a answer, whole bool) { n.noteAt(l, s, a, whole, n.w.Now()) }
 
-func (n *Node) noteAt(l *link, s *shot, a answer, whole bool, ended time.Duration) {
+func (n *Node) noteAt(l *link, s *attempt, a answer, whole bool, ended time.Duration) {
 	n.mu.Lock()
-	r := record.Shot{Call: s.id, Balancer: l.balancer, Server: n.ID, Began: s.began, Came: s.came, Ended: ended, Answered: whole,
+	r := record.Attempt{Call: s.id, Balancer: l.balancer, Server: n.ID, Began: s.began, Came: s.came, Ended: ended, Answered: whole,
 		Ran: s.ran, Cold: s.cold, Work: s.work, Write: s.write, Unexpected: s.unexpected, Swallowed: s.swallowed}
 	n.mu.Unlock()
 	switch {
@@ -255,12 +255,12 @@
 	default:
 		r.Proof = record.WasServed
 	}
-	n.w.Rec.Add(func() { n.w.Rec.Shots = append(n.w.Rec.Shots, r) })
+	n.w.Rec.Add(func() { n.w.Rec.Attempts = append(n.w.Rec.Attempts, r) })
 }
 
 // write sends an answer as the node's faults let it; whole tells that the balancer can read it as what it is, keep that
 // the connection goes on.
-func (n *Node) write(conn *net.TCPConn, s *shot, a answer) (whole, keep bool) {
+func (n *Node) write(conn *net.TCPConn, s *attempt, a answer) (whole, keep bool) {
 	n.mu.Lock()
 	spoilt, broken := n.spoil > 0 && n.chance.Float64() < n.spoil, n.reset > 0 && n.chance.Float64() < n.reset
 	way := n.chance.IntN(len(spoilings))
--- a/internal/rehearsal/standin/standin_test.go
+++ b/internal/rehearsal/standin/standin_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// A shot whose balancer has gone is done all the same: the record has to say that it ran, and its effect.
+// An attempt whose balancer has gone is done all the same: the record has to say that it ran, and its effect.
 func TestGivenUpStillRuns(t *testing.T) {
 	w, n := world(t, "mode = \"through\"\n[[node]]\nname = \"node\"\n[gateway]\ntime = \"5ms\"")
 	w.Sent("w1", Want{Key: "k", Product: 2})
@@ -93,13 +93,13 @@
 	io.WriteString(c, "ms k 2 Ow1 Pc=credit,t=shops,d=900\r\nhi\r\n")
 	for began := time.Now(); n.inFlight() == 0; time.Sleep(time.Millisecond) {
 		if time.Since(began) > patience {
-			t.Fatal("the shot never came")
+			t.Fatal("the attempt never came")
 		}
 	}
 	c.Close()
 	n.Stall(false)
-	until(t, w, "the shot that ran", func(r *record.Record) bool {
-		return len(r.Effects) == 1 && r.Effects[0].Call == "w1" && len(r.Shots) > 0 && r.Shots[0].Ran && r.Shots[0].Proof == record.Nothing
+	until(t, w, "the attempt that ran", func(r *record.Record) bool {
+		return len(r.Effects) == 1 && r.Effects[0].Call == "w1" && len(r.Attempts) > 0 && r.Attempts[0].Ran && r.Attempts[0].Proof == record.Nothing
 	})
 }
 
@@ -127,8 +127,8 @@
 		t.Error("an answer came over a cut link")
 	}
 	c.Close()
-	until(t, w, "the swallowed shot", func(r *record.Record) bool {
-		return len(r.Shots) == 2 && r.Shots[1].Call == "b" && r.Shots[1].Swallowed && !r.Shots[1].Ran
+	until(t, w, "the swallowed attempt", func(r *record.Record) bool {
+		return len(r.Attempts) == 2 && r.Attempts[1].Call == "b" && r.Attempts[1].Swallowed && !r.Attempts[1].Ran
 	})
 	if err := n.Cut(0, false); err != nil {
 		t.Fatal(err)
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -53,7 +53,7 @@
 	id, key, mark string
 	write         bool
 	b             *balancer
-	shots         []*shot
+	attempts      []*attempt
 	out           int
 	settled       bool
 	rec           *record.Call
@@ -61,8 +61,8 @@
 	missed        []*node
 }
 
-// shot is one attempt.
-type shot struct {
+// attempt is one attempt.
+type attempt struct {
 	b     *balancer
 	lives uint64 // of the balancer when it was sent
 	call  *call
@@ -111,7 +111,7 @@
 	b.d.rec.Lives = append(b.d.rec.Lives, b.life)
 	for _, id := range sorted(b.calls) {
 		c := b.calls[id]
-		for _, s := range c.shots {
+		for _, s := range c.attempts {
 			s.giveUp()
 		}
 		if !c.settled {
@@ -209,7 +209,7 @@
 	b.leave(c)
 }
 
-// leave forgets a call that has its answer and whose shots have ended.
+// leave forgets a call that has its answer and whose attempts have ended.
 func (b *balancer) leave(c *call) {
 	if c.settled && c.out == 0 && b.calls != nil {
 		delete(b.calls, policy.CallID(c.id))
@@ -265,14 +265,14 @@
 	}
 }
 
-func (h host) Cancel(id policy.CallID, shot int) {
+func (h host) Cancel(id policy.CallID, attempt int) {
 	c := h.b.calls[id]
-	if c == nil || shot >= len(c.shots) {
+	if c == nil || attempt >= len(c.attempts) {
 		return
 	}
 	// Heard later, as on sockets: the module is not called from within itself.
 	h.b.d.after(0, func() {
-		if s := c.shots[shot]; !s.over && h.b.lives == h.lives {
+		if s := c.attempts[attempt]; !s.over && h.b.lives == h.lives {
 			s.giveUp()
 			s.end(policy.Cancelled, 0)
 		}
@@ -285,14 +285,14 @@
 	if c == nil {
 		return
 	}
-	s := &shot{b: b, lives: h.lives, call: c, n: len(c.shots), sent: d.now, work: d.work(c)}
-	c.shots = append(c.shots, s)
+	s := &attempt{b: b, lives: h.lives, call: c, n: len(c.attempts), sent: d.now, work: d.work(c)}
+	c.attempts = append(c.attempts, s)
 	c.out++
 	if to != record.Gateway {
 		s.to = d.nodes[string(to)]
 	}
-	d.shots = append(d.shots, s)
-	d.note("shot %s/%d %d to %s", id, s.n, b.index, s.server())
+	d.attempts = append(d.attempts, s)
+	d.note("attempt %s/%d %d to %s", id, s.n, b.index, s.server())
 	d.after(s.way(), func() {
 		if s.over {
 			return // given up on the way: its connection ended before it came
@@ -318,8 +318,8 @@
 	})
 }
 
-// way is how long bytes take one way between a shot's balancer and its server.
-func (s *shot) way() time.Duration {
+// way is how long bytes take one way between an attempt's balancer and its server.
+func (s *attempt) way() time.Duration {
 	if s.to == nil {
 		return s.usual()
 	}
@@ -327,7 +327,7 @@
 }
 
 // usual is the way without what a fault adds to it.
-func (s *shot) usual() time.Duration {
+func (s *attempt) usual() time.Duration {
 	d := s.b.d
 	if s.to == nil || s.to.group.Zone == d.Fleet.Zones[s.b.zone] {
 		return d.Fleet.Same.D()
@@ -335,22 +335,22 @@
 	return d.Fleet.Cross.D()
 }
 
-// server is the name of a shot's server.
-func (s *shot) server() string {
+// server is the name of an attempt's server.
+func (s *attempt) server() string {
 	if s.to == nil {
 		return record.Gateway
 	}
 	return s.to.id
 }
 
-// refused is a connection that nobody takes. It is noted as a shot: the balancer meant it as one.
-func (s *shot) refused() {
+// refused is a connection that nobody takes. It is noted as an attempt: the balancer meant it as one.
+func (s *attempt) refused() {
 	s.ended, s.proof = s.b.d.now+s.usual(), record.NeverRan
 	s.b.d.after(s.usual(), func() { s.heard(policy.ConnectFailed, 0) })
 }
 
 // answer sends a server's answer on its way.
-func (s *shot) answer(o policy.Outcome, note int) {
+func (s *attempt) answer(o policy.Outcome, note int) {
 	d := s.b.d
 	if s.to != nil && s.to.links[s.b.index].cut {
 		return // lost on the way: for the balancer it is still out
@@ -367,8 +367,8 @@
 
 var proofs = map[policy.Outcome]record.Proof{policy.Fulfilled: record.WasServed, policy.Missed: record.Missed, policy.TurnedAway: record.NeverRan}
 
-// giveUp ends the connection that carries a shot; its server hears that.
-func (s *shot) giveUp() {
+// giveUp ends the connection that carries an attempt; its server hears that.
+func (s *attempt) giveUp() {
 	if s.over {
 		return
 	}
@@ -388,8 +388,8 @@
 	})
 }
 
-// heard is what came for a shot: the balancer looks at it when it runs.
-func (s *shot) heard(o policy.Outcome, note int) {
+// heard is what came for an attempt: the balancer looks at it when it runs.
+func (s *attempt) heard(o policy.Outcome, note int) {
 	if s.b.mod == nil || s.b.lives != s.lives {
 		s.end(o, note)
 		return
@@ -397,8 +397,8 @@
 	s.b.awake(func() { s.end(o, note) }, nil)
 }
 
-// end lets the balancer hear how a shot ended.
-func (s *shot) end(o policy.Outcome, note int) {
+// end lets the balancer hear how an attempt ended.
+func (s *attempt) end(o policy.Outcome, note int) {
 	b := s.b
 	if s.over {
 		return
@@ -423,7 +423,7 @@
 			b.seen.Ended(b.d.now, s.to.id, good)
 		}
 	}
-	b.mod.Ended(policy.Ending{Call: policy.CallID(c.id), Shot: s.n, Final: c.settled, Outcome: o, Took: policy.Nanos(b.d.now - s.sent),
+	b.mod.Ended(policy.Ending{Call: policy.CallID(c.id), Attempt: s.n, Final: c.settled, Outcome: o, Took: policy.Nanos(b.d.now - s.sent),
 		Cache: policy.CacheID(s.server())})
 	b.leave(c)
 }
--- a/internal/rehearsal/virtual/day.go
+++ b/internal/rehearsal/virtual/day.go
@@ -28,7 +28,7 @@
 	gateway   *gateway
 	register  *model.Register
 	balancers []*balancer
-	shots     []*shot
+	attempts  []*attempt
 	retry     model.Retry
 	turn      int
 	latency   *hdrhistogram.Histogram
@@ -40,7 +40,7 @@
 
 // wrong is what a day does to its modules on purpose, to see that the judge names it. Its zero value does nothing.
 type wrong struct {
-	lie   func(policy.Outcome) policy.Outcome // how a shot's end is told
+	lie   func(policy.Outcome) policy.Outcome // how an attempt's end is told
 	deaf  bool                                // leaving hosts are not told of
 	warm  bool                                // cold hosts are told to be warm
 	liars Liars                               // who tell something else of hosts than they saw
@@ -236,7 +236,7 @@
 // terms are what a balancer in a zone is told, as on sockets.
 func (d *Day) terms(zone int) policy.Terms {
 	t := policy.Terms{Balancers: d.Fleet.Balancers, Zone: policy.Zone(zone), Aside: d.Fleet.Mode == scenario.Aside, OriginKind: -1, MayCancel: true,
-		MostShots: d.Fleet.Shots, MaxComeBack: policy.Nanos(d.Clients.ComeBack), ColdFrom: 1, FallMultiple: d.Rules.FallMultiple,
+		MostAttempts: d.Fleet.Attempts, MaxComeBack: policy.Nanos(d.Clients.ComeBack), ColdFrom: 1, FallMultiple: d.Rules.FallMultiple,
 		FallWindow: policy.Nanos(d.Rules.FallFor), AskEvery: 10 * policy.Second, Tick: 5 * policy.Millisecond}
 	if t.Aside {
 		t.OriginKind = 1
@@ -265,13 +265,13 @@
 		}
 	}
 	d.rec.Strain(record.Gateway, d.gateway.m.Strain())
-	for _, s := range d.shots {
+	for _, s := range d.attempts {
 		if s.came == 0 {
 			continue // given up on the way: no server saw it
 		}
-		r := record.Shot{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.sent, Ended: s.ended, Proof: s.proof,
+		r := record.Attempt{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.sent, Ended: s.ended, Proof: s.proof,
 			Answered: s.whole, Ran: s.ran, Cold: s.cold, Work: s.work, Write: s.call.write, Swallowed: s.swallowed}
-		d.rec.Shots = append(d.rec.Shots, r)
+		d.rec.Attempts = append(d.rec.Attempts, r)
 	}
 	res := &runner.Result{Day: d.Day, Record: d.rec, Latency: load.PercentilesOf(d.latency), Took: time.Since(began)}
 	if d.mates != nil {
--- a/internal/rehearsal/virtual/servers.go
+++ b/internal/rehearsal/virtual/servers.go
@@ -20,8 +20,8 @@
 	born   time.Duration
 	cold   bool
 	dueAt  time.Duration
-	out    []*shot // in hand, in the order of their coming
-	links  []link  // by balancer
+	out    []*attempt // in hand, in the order of their coming
+	links  []link     // by balancer
 	chance *rand.Rand
 
 	spoil, reset, fail float64
@@ -81,8 +81,8 @@
 	}
 }
 
-// offer takes a shot that has come.
-func (n *node) offer(s *shot) {
+// offer takes an attempt that has come.
+func (n *node) offer(s *attempt) {
 	s.came = n.d.now
 	switch {
 	case n.silent || n.links[s.b.index].cut:
@@ -109,7 +109,7 @@
 // advance plays the model up to now.
 func (n *node) advance() {
 	for _, done := range n.m.Advance(n.d.now) {
-		s, ok := done.Tag.(*shot)
+		s, ok := done.Tag.(*attempt)
 		if !ok {
 			continue
 		}
@@ -143,7 +143,7 @@
 	}
 }
 
-func (n *node) leaves(s *shot) {
+func (n *node) leaves(s *attempt) {
 	for i, x := range n.out {
 		if x == s {
 			n.out = append(n.out[:i], n.out[i+1:]...)
@@ -153,7 +153,7 @@
 }
 
 // through asks the gateway for a read's value or hands a write on. Fetches of one key are not joined here.
-func (n *node) through(s *shot, done model.Done) {
+func (n *node) through(s *attempt, done model.Done) {
 	n.d.gateway.take(s.call, done.Write, func(r fetched) {
 		switch {
 		case r.full:
@@ -215,8 +215,8 @@
 	g.awaits()
 }
 
-// offer takes a balancer's shot.
-func (g *gateway) offer(s *shot) {
+// offer takes a balancer's attempt.
+func (g *gateway) offer(s *attempt) {
 	s.came = g.d.now
 	if g.fail > 0 && g.chance.Float64() < g.fail {
 		s.answer(policy.Errored, 0)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,12 +28,12 @@
 	head   []byte // written last, used again
 
 	// Under hosts.mu.
-	next    *Shot // that it is to carry
-	resting bool  // its goroutine waits in a read
-	closing bool  // the pool has dropped it
+	next    *Attempt // that it is to carry
+	resting bool     // its goroutine waits in a read
+	closing bool     // the pool has dropped it
 }
 
-// run dials and carries shots until the connection ends.
+// run dials and carries attempts until the connection ends.
 func (c *conn) run(ctx context.Context) {
 	hs := c.hosts
 	net, err := hs.Dial(ctx, "tcp", c.addr)
@@ -69,12 +69,12 @@
 		c.next = nil
 		hs.mu.Unlock()
 		r, written, keep := c.carry(s)
-		s.end(r, written) // first: who gives it up after this ends no other shot
+		s.end(r, written) // first: who gives it up after this ends no other attempt
 		hs.mu.Lock()
 		if first && (r.Outcome == policy.TurnedAway || r.Outcome == policy.Reset) {
 			hs.pool.Rejected(hs.now(), c.id)
 		}
-		if !keep || c.in.Buffered() > 0 { // what came unasked belongs to no shot
+		if !keep || c.in.Buffered() > 0 { // what came unasked belongs to no attempt
 			hs.pool.Closed(hs.now(), c.id)
 			c.closing = true
 		} else {
@@ -83,9 +83,9 @@
 	}
 }
 
-// carry writes a shot and waits for its answer; it tells what came of it, whether its last byte was written and whether
+// carry writes an attempt and waits for its answer; it tells what came of it, whether its last byte was written and whether
 // the connection can be kept.
-func (c *conn) carry(s *Shot) (r Result, written, keep bool) {
+func (c *conn) carry(s *Attempt) (r Result, written, keep bool) {
 	// The order may have waited for the connection: what is over, or drained by now, is not written any more.
 	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) || !time.Now().Before(s.Begin) {
 		return Result{Outcome: policy.NeverSent}, false, true
@@ -95,7 +95,7 @@
 		c.net.SetWriteDeadline(s.Begin) // what is not whole by then is not to be
 		defer c.net.SetWriteDeadline(time.Time{})
 	}
-	if s.Upload != nil && !s.Upload.Take() { // another shot has had the value
+	if s.Upload != nil && !s.Upload.Take() { // another attempt has had the value
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	began := time.Now()
@@ -129,8 +129,8 @@
 	return errors.As(err, &fromNet) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// write tells by Fulfilled that the last byte of a shot was written, that is, that it may run.
-func (c *conn) write(s *Shot) policy.Outcome {
+// write tells by Fulfilled that the last byte of an attempt was written, that is, that it may run.
+func (c *conn) write(s *Attempt) policy.Outcome {
 	c.head = c.head[:0]
 	cmd := s.Command
 	parts := net.Buffers{nil}
@@ -171,11 +171,11 @@
 }
 
 var (
-	errGarbage = errors.New("not an answer to this shot")
+	errGarbage = errors.New("not an answer to this attempt")
 	errNoRoom  = errors.New("no memory for the value")
 )
 
-func (c *conn) read(s *Shot) (r Result, keep bool, err error) {
+func (c *conn) read(s *Attempt) (r Result, keep bool, err error) {
 	if c.host.isOrigin {
 		return c.readOrigin(s)
 	}
@@ -241,7 +241,7 @@
 	return nil
 }
 
-func (c *conn) readOrigin(s *Shot) (r Result, keep bool, err error) {
+func (c *conn) readOrigin(s *Attempt) (r Result, keep bool, err error) {
 	whole := Whole
 	if s.Command.Write {
 		whole = memcache.MostValue // it is a receipt, or the body of an error
@@ -265,9 +265,9 @@
 	return r, !resp.Close, nil
 }
 
-// rest waits until the pool hands the connection a shot, nil where it ended before one came. Called and left under
+// rest waits until the pool hands the connection an attempt, nil where it ended before one came. Called and left under
 // hosts.mu. At rest it blocks in a read, so that a host that closes is heard at once.
-func (c *conn) rest() *Shot {
+func (c *conn) rest() *Attempt {
 	hs := c.hosts
 	c.resting = true
 	c.net.SetReadDeadline(time.Time{})
@@ -283,11 +283,11 @@
 	case s != nil && errors.Is(err, os.ErrDeadlineExceeded):
 		return s
 	}
-	// The host closed it, or spoke unasked. A shot that was handed over just then goes over another one: not a byte of
+	// The host closed it, or spoke unasked. An attempt that was handed over just then goes over another one: not a byte of
 	// it was written.
 	hs.pool.Closed(hs.now(), c.id)
 	if s != nil {
-		hs.shoot(s)
+		hs.send(s)
 	}
 	return nil
 }
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -48,8 +48,8 @@
 					hs.mu.Unlock()
 				}
 				for n := 0; n <= len(row.text); n++ {
-					s, ended := shot(t, row.command, "hello", 10*time.Second)
-					hs.Shoot(s)
+					s, ended := attempt(t, row.command, "hello", 10*time.Second)
+					hs.Send(s)
 					c := <-conns
 					in := make([]byte, 4096)
 					for got := ""; !strings.HasSuffix(got, "\r\n") && !strings.HasSuffix(got, "hello"); {
@@ -107,9 +107,9 @@
 			hs.mu.Lock()
 			hs.all["h"].isOrigin = row.origin
 			hs.mu.Unlock()
-			s, ended := shot(t, "mg k v Oa Pc=read,d=900", "", 300*time.Millisecond)
+			s, ended := attempt(t, "mg k v Oa Pc=read,d=900", "", 300*time.Millisecond)
 			began := time.Now()
-			hs.Shoot(s)
+			hs.Send(s)
 			c := <-conns
 			defer c.Close()
 			io.WriteString(c, row.text)
@@ -171,8 +171,8 @@
 				}
 			}()
 			for i := range 300 {
-				s, ended := shot(t, fmt.Sprintf("mg k v Oa%d Pc=read,d=900", i), "", 10*time.Second)
-				hs.Shoot(s)
+				s, ended := attempt(t, fmt.Sprintf("mg k v Oa%d Pc=read,d=900", i), "", 10*time.Second)
+				hs.Send(s)
 				r := <-ended
 				if r.Outcome == policy.Fulfilled && string(r.Body) != "right" {
 					t.Fatalf("attempt %d got %q", i, r.Body)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -19,7 +19,7 @@
 	PieceWait = 5 * time.Second
 )
 
-// Upload is a long value that is still coming. One shot takes it; it reads In to its end or not at all any more.
+// Upload is a long value that is still coming. One attempt takes it; it reads In to its end or not at all any more.
 type Upload struct {
 	Length int
 	In     io.Reader            // ends with an error where the value is not whole
@@ -91,7 +91,7 @@
 
 // pass hands a long value on as it comes. A client that does not take it is no fault of the host's, but the connection is
 // of no more use.
-func (c *conn) pass(s *Shot, r Result, length int, end func() error) (Result, bool, error) {
+func (c *conn) pass(s *Attempt, r Result, length int, end func() error) (Result, bool, error) {
 	if !s.Room(PieceBytes) {
 		return r, false, errNoRoom
 	}
@@ -102,7 +102,7 @@
 }
 
 // upload writes a long value as it comes from the client; the outcome is Fulfilled where its last byte was written.
-func (c *conn) upload(s *Shot) policy.Outcome {
+func (c *conn) upload(s *Attempt) policy.Outcome {
 	defer close(s.Upload.Ended)
 	to := Patient{c.net}
 	if _, err := to.Write(c.head); err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,5 +1,5 @@
-// Package upstream keeps the connections to cache hosts and to the origin and carries shots over them, as package pool
-// decides. One goroutine serves one connection, which carries one shot at a time: ending it gives up no other.
+// Package upstream keeps the connections to cache hosts and to the origin and carries attempts over them, as package pool
+// decides. One goroutine serves one connection, which carries one attempt at a time: ending it gives up no other.
 package upstream
 
 import (
@@ -16,7 +16,7 @@
 	"streamrail/policy"
 )
 
-// Result is the outcome of a shot, as far as it is proven.
+// Result is the outcome of an attempt, as far as it is proven.
 type Result struct {
 	Outcome policy.Outcome
 	Load    *policy.Load  // of the host, where answers tell it
@@ -24,8 +24,8 @@
 	Peer    time.Duration // of its time, what a long value took at the client's pace
 }
 
-// Shot is one order to send. It ends once, through Done, which must not block.
-type Shot struct {
+// Attempt is one order to send. It ends once, through Done, which must not block.
+type Attempt struct {
 	To      policy.CacheID
 	Command *memcache.Command
 	Value   []byte  // of a write
@@ -37,19 +37,19 @@
 	Done    func(Result)
 
 	hosts *Hosts
-	id    pool.Shot
+	id    pool.Attempt
 
 	mu    sync.Mutex
 	stop  func() // ends the connection that carries it
 	given bool   // up
 }
 
-// GiveUp stops waiting for the shot: it leaves those that wait for a connection, or ends the one that carries it.
-func (s *Shot) GiveUp() {
+// GiveUp stops waiting for the attempt: it leaves those that wait for a connection, or ends the one that carries it.
+func (s *Attempt) GiveUp() {
 	s.mu.Lock()
 	s.given = true
 	if s.stop != nil {
-		s.stop() // under the lock: once the shot has ended, its connection may carry another
+		s.stop() // under the lock: once the attempt has ended, its connection may carry another
 	}
 	hs := s.hosts
 	s.mu.Unlock()
@@ -58,8 +58,8 @@
 	}
 }
 
-// carry tells how to stop the shot from now on; false where it is given up already.
-func (s *Shot) carry(stop func()) bool {
+// carry tells how to stop the attempt from now on; false where it is given up already.
+func (s *Attempt) carry(stop func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stop = stop
@@ -67,7 +67,7 @@
 }
 
 // end reports the outcome. What was given up may have run only if it was written whole.
-func (s *Shot) end(r Result, written bool) {
+func (s *Attempt) end(r Result, written bool) {
 	s.mu.Lock()
 	given := s.given
 	s.stop = nil
@@ -95,18 +95,18 @@
 	limits Limits
 	origin policy.Kind
 	epoch  time.Time
-	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // set before the first shot, if at all
-
-	mu    sync.Mutex
-	pool  *pool.Pool
-	all   map[policy.CacheID]*host
-	conns map[pool.Conn]*conn
-	shots map[pool.Shot]*Shot // that the pool has not carried or refused yet
-	last  pool.Shot
-	over  chan struct{}           // closed by Close
-	out   map[policy.CacheID]bool // taken out by hand
-
-	sent      atomic.Int64  // shots written whole, to the origin too
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // set before the first attempt, if at all
+
+	mu       sync.Mutex
+	pool     *pool.Pool
+	all      map[policy.CacheID]*host
+	conns    map[pool.Conn]*conn
+	attempts map[pool.Attempt]*Attempt // that the pool has not carried or refused yet
+	last     pool.Attempt
+	over     chan struct{}           // closed by Close
+	out      map[policy.CacheID]bool // taken out by hand
+
+	sent      atomic.Int64  // attempts written whole, to the origin too
 	afterTold time.Duration // the longest from when a host was told off here to a write there that was still allowed; under mu
 }
 
@@ -120,7 +120,7 @@
 // New makes an empty set; the origin is what discovery lists with that kind.
 func New(limits Limits, origin policy.Kind) *Hosts {
 	hs := &Hosts{limits: limits, origin: origin, epoch: time.Now(), Dial: (&net.Dialer{}).DialContext, all: map[policy.CacheID]*host{}, conns: map[pool.Conn]*conn{},
-		shots: map[pool.Shot]*Shot{}, out: map[policy.CacheID]bool{}, over: make(chan struct{})}
+		attempts: map[pool.Attempt]*Attempt{}, out: map[policy.CacheID]bool{}, over: make(chan struct{})}
 	hs.pool = pool.New(orders{hs}, limits.Pool, rand.Float64)
 	go hs.tick()
 	return hs
@@ -222,17 +222,17 @@
 	}
 }
 
-// Sent is the number of shots written whole, to the origin too: the list names it like the cache hosts.
+// Sent is the number of attempts written whole, to the origin too: the list names it like the cache hosts.
 func (hs *Hosts) Sent() int64 { return hs.sent.Load() }
 
-// Shoot carries a shot over a connection that rests, one that is opened or one that comes free, or refuses it.
-func (hs *Hosts) Shoot(s *Shot) {
+// Send carries an attempt over a connection that rests, one that is opened or one that comes free, or refuses it.
+func (hs *Hosts) Send(s *Attempt) {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
-	hs.shoot(s)
+	hs.send(s)
 }
 
-func (hs *Hosts) shoot(s *Shot) {
+func (hs *Hosts) send(s *Attempt) {
 	hs.last++
 	s.mu.Lock()
 	s.hosts, s.id = hs, hs.last
@@ -242,18 +242,18 @@
 		s.end(Result{Outcome: policy.NeverSent}, false)
 		return
 	}
-	hs.shots[s.id] = s
+	hs.attempts[s.id] = s
 	hs.pool.Ask(hs.now(), pool.Host(s.To), s.id, policy.Nanos(s.Begin.Sub(hs.epoch)))
 }
 
-// giveUp takes a shot from those that wait; false where it does not.
-func (hs *Hosts) giveUp(s *Shot) bool {
+// giveUp takes an attempt from those that wait; false where it does not.
+func (hs *Hosts) giveUp(s *Attempt) bool {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	if !hs.pool.GiveUp(s.id) {
 		return false
 	}
-	delete(hs.shots, s.id)
+	delete(hs.attempts, s.id)
 	return true
 }
 
@@ -269,10 +269,10 @@
 	go c.run(ctx)
 }
 
-func (o orders) Carry(id pool.Conn, shot pool.Shot) {
+func (o orders) Carry(id pool.Conn, attempt pool.Attempt) {
 	c := o.hs.conns[id]
-	c.next = o.hs.shots[shot]
-	delete(o.hs.shots, shot)
+	c.next = o.hs.attempts[attempt]
+	delete(o.hs.attempts, attempt)
 	if c.resting {
 		c.net.SetReadDeadline(longAgo) // wakes its goroutine
 	}
@@ -287,9 +287,9 @@
 	}
 }
 
-func (o orders) Refuse(shot pool.Shot, why pool.Why) {
-	s := o.hs.shots[shot]
-	delete(o.hs.shots, shot)
+func (o orders) Refuse(attempt pool.Attempt, why pool.Why) {
+	s := o.hs.attempts[attempt]
+	delete(o.hs.attempts, attempt)
 	outcome := policy.NeverSent
 	if why == pool.NoConnect {
 		outcome = policy.ConnectFailed
@@ -350,14 +350,14 @@
 	return len(hs.conns)
 }
 
-// Bound tells how often bounds on connections refused a shot, by host, since the last time.
+// Bound tells how often bounds on connections refused an attempt, by host, since the last time.
 func (hs *Hosts) Bound() map[pool.Host]int {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	return hs.pool.Bound()
 }
 
-// Close ends all idle connections and takes no more shots.
+// Close ends all idle connections and takes no more attempts.
 func (hs *Hosts) Close() {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -40,13 +40,13 @@
 	return hs, entry, conns
 }
 
-func shot(t *testing.T, line, value string, until time.Duration) (*Shot, chan Result) {
+func attempt(t *testing.T, line, value string, until time.Duration) (*Attempt, chan Result) {
 	cmd, fault := memcache.Parse([]byte(line))
 	if fault != nil {
 		t.Fatal(fault)
 	}
 	ended := make(chan Result, 2)
-	return &Shot{To: "h", Command: &cmd, Value: []byte(value), Until: time.Now().Add(until), Begin: time.Now().Add(until),
+	return &Attempt{To: "h", Command: &cmd, Value: []byte(value), Until: time.Now().Add(until), Begin: time.Now().Add(until),
 		Room: func(n int) bool { return n < 1<<19 }, Done: func(r Result) { ended <- r }}, ended
 }
 
@@ -58,7 +58,7 @@
 			t.Errorf("outcome %d, expected %d", r.Outcome, want)
 		}
 	case <-time.After(10 * time.Second):
-		t.Fatal("the shot never ends")
+		t.Fatal("the attempt never ends")
 	}
 }
 
@@ -83,8 +83,8 @@
 
 var wide = Limits{Pool: pool.Terms{Most: 10, Idle: policy.Nanos(time.Minute)}, Origin: 10, Connect: time.Second, Grace: time.Second}
 
-// carried is what comes of a shot over a connection.
-func carried(t *testing.T, c *conn, s *Shot, want policy.Outcome) {
+// carried is what comes of an attempt over a connection.
+func carried(t *testing.T, c *conn, s *Attempt, want policy.Outcome) {
 	t.Helper()
 	if r, _, _ := c.carry(s); r.Outcome != want {
 		t.Errorf("outcome %d, expected %d", r.Outcome, want)
@@ -114,11 +114,11 @@
 func TestBreakAtLastByte(t *testing.T) {
 	const line, value = "ms k 5 O1 Pc=pay,d=900", "hello"
 	var whole bytes.Buffer
-	s, _ := shot(t, line, value, time.Minute)
+	s, _ := attempt(t, line, value, time.Minute)
 	whole.Write(s.Command.AppendOnward(nil, time.Until(s.Until)))
 	total := whole.Len() + len(value) + 2
 	for room, want := range map[int]policy.Outcome{0: policy.ConnectFailed, total - 1: policy.ConnectFailed, total: policy.Reset} {
-		s, _ := shot(t, line, value, time.Minute)
+		s, _ := attempt(t, line, value, time.Minute)
 		hs := New(wide, -1)
 		c := &conn{hosts: hs, host: &host{}, net: &cut{room: room}}
 		c.in = newReader(c.net)
@@ -138,23 +138,23 @@
 		<-hold
 		return real(ctx, network, addr)
 	}
-	late, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(late)
-	given, andEnded := shot(t, "mg k v O4 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(given)
+	late, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(late)
+	given, andEnded := attempt(t, "mg k v O4 Pc=read,d=900", "", time.Minute)
+	hs.Send(given)
 	given.GiveUp()
 	ends(t, andEnded, policy.NeverSent)
 	entry.Condition = policy.Draining
 	hs.Listed(discovery.List{Hosts: []discovery.Host{entry}})
 	ends(t, ended, policy.NeverSent)
 	close(hold)
-	over, ended := shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	over, ended := attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
 	over.GiveUp()
-	hs.Shoot(over)
+	hs.Send(over)
 	ends(t, ended, policy.NeverSent)
-	gone, ended := shot(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
+	gone, ended := attempt(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
 	gone.To = "another"
-	hs.Shoot(gone)
+	hs.Send(gone)
 	ends(t, ended, policy.NeverSent)
 	c := <-conns
 	c.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -163,11 +163,11 @@
 	}
 }
 
-// Given up after its last byte, a shot may have run; its connection ends, so that no answer comes late.
+// Given up after its last byte, an attempt may have run; its connection ends, so that no answer comes late.
 func TestGivenUp(t *testing.T) {
 	hs, _, conns := stand(t, wide)
-	s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	c := <-conns
 	buf := make([]byte, 100)
 	if n, _ := c.Read(buf); !strings.HasPrefix(string(buf[:n]), "mg k v O1 ") {
@@ -193,23 +193,23 @@
 	return 0, io.EOF
 }
 
-// A shot handed to a connection at rest just as its host closes it goes over another one: not a byte was
-// written, and calling it a reset would forbid a non-idempotent API call its next shot.
+// An attempt handed to a connection at rest just as its host closes it goes over another one: not a byte was
+// written, and calling it a reset would forbid a non-idempotent API call its next attempt.
 func TestClosedAsHanded(t *testing.T) {
 	hs, _, conns := stand(t, wide)
 	w := &rested{cut{room: 1 << 20}, make(chan string, 1)}
 	real := hs.Dial
 	hs.Dial = func(context.Context, string, string) (net.Conn, error) { return w, nil }
-	first, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	first, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
 	w.answers <- "EN O1\r\n"
-	hs.Shoot(first)
+	hs.Send(first)
 	ends(t, ended, policy.Missed)
-	second, ended := shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	second, ended := attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
 	atRest(t, hs, 1)
 	hs.mu.Lock()
 	hs.Dial = real
 	hs.mu.Unlock()
-	hs.Shoot(second)
+	hs.Send(second)
 	close(w.answers)
 	io.WriteString(<-conns, "EN O2\r\n")
 	ends(t, ended, policy.Missed)
@@ -225,41 +225,41 @@
 	origin := entry
 	origin.Cache, origin.Kind = "o", 7
 	hs.Listed(discovery.List{Hosts: []discovery.Host{entry, origin}})
-	cached, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	cached, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
 	cached.To = "i"
-	hs.Shoot(cached)
+	hs.Send(cached)
 	io.WriteString(<-conns, "EN O1\r\n")
 	ends(t, ended, policy.Missed)
 	atRest(t, hs, 1)
-	held, _ := shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	held, _ := attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
 	held.To = "o"
-	hs.Shoot(held)
+	hs.Send(held)
 	<-conns
-	more, ended := shot(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
+	more, ended := attempt(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
 	more.To = "o"
-	hs.Shoot(more)
+	hs.Send(more)
 	ends(t, ended, policy.NeverSent)
 }
 
-// Connections are bounded: one that is idle makes room, and without one the shot is never sent.
+// Connections are bounded: one that is idle makes room, and without one the attempt is never sent.
 func TestBound(t *testing.T) {
 	limits := wide
 	limits.Pool.Most = 1
 	hs, _, conns := stand(t, limits)
-	first, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(first)
+	first, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(first)
 	c := <-conns
-	second, never := shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(second)
+	second, never := attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	hs.Send(second)
 	ends(t, never, policy.NeverSent)
 	io.WriteString(c, "EN O1\r\n")
 	ends(t, ended, policy.Missed)
 	entry := discovery.Host{Addr: c.LocalAddr().String(), Entry: policy.Entry{Cache: "i"}}
 	hs.Listed(discovery.List{Hosts: []discovery.Host{entry}})
 	atRest(t, hs, 1)
-	third, ended := shot(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
+	third, ended := attempt(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
 	third.To = "i"
-	hs.Shoot(third)
+	hs.Send(third)
 	io.WriteString(<-conns, "EN O3\r\n")
 	ends(t, ended, policy.Missed)
 }
@@ -278,7 +278,7 @@
 		"VA 3000000000 O1\r\nx":    policy.Spoilt,
 		strings.Repeat("x", 1<<16): policy.Spoilt,
 	} {
-		s, _ := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+		s, _ := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
 		hs := New(wide, -1)
 		c := &conn{hosts: hs, host: &host{}, net: &cut{room: 1 << 20}}
 		c.in = newReader(strings.NewReader(answer))
@@ -298,7 +298,7 @@
 		"EN O1\r\n":                                         nil,
 	} {
 		for _, told := range []bool{true, false} {
-			s, _ := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+			s, _ := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
 			limits := wide
 			limits.Reports = told
 			hs := New(limits, -1)
@@ -314,16 +314,16 @@
 }
 
 // Some hosts close a connection right after an answer. The one at rest longest has been heard closing by then; a
-// shot written to the last one used would end as one that may have run.
+// attempt written to the last one used would end as one that may have run.
 func TestLongestRested(t *testing.T) {
 	hs, _, conns := stand(t, wide)
 	var held []net.Conn
 	var all []chan Result
 	for range 3 {
-		s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-		hs.Shoot(s)
+		s, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+		hs.Send(s)
 		c := <-conns
-		c.Read(make([]byte, 100)) // it is this one's: two that are being opened may change their shots
+		c.Read(make([]byte, 100)) // it is this one's: two that are being opened may change their attempts
 		held, all = append(held, c), append(all, ended)
 	}
 	for i, c := range held {
@@ -331,8 +331,8 @@
 		ends(t, all[i], policy.Missed)
 		atRest(t, hs, i+1)
 	}
-	s, _ := shot(t, "mg next v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, _ := attempt(t, "mg next v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	held[0].SetReadDeadline(time.Now().Add(time.Second))
 	buf := make([]byte, 200)
 	if n, _ := held[0].Read(buf); !strings.Contains(string(buf[:n]), "mg next") {
@@ -343,10 +343,10 @@
 // Hosts come and go all day under new ids; what is gone leaves nothing behind once its connections have ended.
 func TestGoneForgotten(t *testing.T) {
 	hs, entry, conns := stand(t, wide)
-	s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	c := <-conns
-	c.Read(make([]byte, 100)) // the shot is out
+	c.Read(make([]byte, 100)) // the attempt is out
 	hs.Listed(discovery.List{Whole: true})
 	known := func() int {
 		hs.mu.Lock()
@@ -354,7 +354,7 @@
 		return len(hs.all)
 	}
 	if known() != 1 {
-		t.Error("forgotten with a shot out")
+		t.Error("forgotten with an attempt out")
 	}
 	io.WriteString(c, "EN O1\r\n")
 	ends(t, ended, policy.Missed)
@@ -373,11 +373,11 @@
 }
 
 // A host that is out by hand gets nothing, also where the list names it again, nor what waits for a connection to it; back, it
-// gets no shot over a connection of before: it may be another process.
+// gets no attempt over a connection of before: it may be another process.
 func TestOutByHand(t *testing.T) {
 	hs, entry, conns := stand(t, wide)
-	s, ended := shot(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, ended := attempt(t, "mg k v O1 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	first := <-conns
 	first.Read(make([]byte, 100))
 	io.WriteString(first, "EN O1\r\n")
@@ -385,15 +385,15 @@
 	atRest(t, hs, 1)
 	hs.Exclude("h")
 	hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
-	s, ended = shot(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, ended = attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	ends(t, ended, policy.NeverSent)
 	if n, _ := first.Read(make([]byte, 1)); n != 0 {
 		t.Error("the connection at rest was used")
 	}
 	hs.Include("h")
-	s, ended = shot(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
-	hs.Shoot(s)
+	s, ended = attempt(t, "mg k v O3 Pc=read,d=900", "", time.Minute)
+	hs.Send(s)
 	select {
 	case second := <-conns:
 		second.Read(make([]byte, 100))
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -107,7 +107,7 @@
 	}
 	s.later(end, func() {
 		if !s.gone {
-			s.b.Ended(Ending{Call: id, Shot: n, Final: outcome == Fulfilled, Outcome: outcome, Took: s.now - sent, Cache: to})
+			s.b.Ended(Ending{Call: id, Attempt: n, Final: outcome == Fulfilled, Outcome: outcome, Took: s.now - sent, Cache: to})
 		}
 	})
 }
@@ -138,7 +138,7 @@
 		f.hosts[id] = &coldHost{Entry: Entry{Cache: id, Size: 1}, speed: p.perS}
 		list = append(list, f.hosts[id].Entry)
 	}
-	terms := Terms{Balancers: p.balancers, Products: []ProductTerms{{LatencySLO: Second, BilledValue: 1}}, MayCancel: true, MostShots: 4,
+	terms := Terms{Balancers: p.balancers, Products: []ProductTerms{{LatencySLO: Second, BilledValue: 1}}, MayCancel: true, MostAttempts: 4,
 		OriginKind: -1, ColdFrom: coldFromTest, RampTime: rampTest, FallMultiple: multipleTest, FallWindow: fallTest, Tick: 5 * Millisecond}
 	var sides []*coldSide
 	start := func(i int) *coldSide {
--- a/policy/hand_test.go
+++ b/policy/hand_test.go
@@ -47,7 +47,7 @@
 }
 
 // What a newer process takes over depends on what its settings leave of it: bounds are parts of a whole that another number of
-// balancers divides otherwise; the outcomes of shots at a host hold while the same process runs there; nonsense holds never.
+// balancers divides otherwise; the outcomes of attempts at a host hold while the same process runs there; nonsense holds never.
 func TestTakeOver(t *testing.T) {
 	made := func(balancers int, born Nanos) *Balancer {
 		s := &stage{T: t, counts: map[string]int{}, now: 1000 * Second}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// toCache makes the next shot at a cache, or gives up.
+// toCache makes the next attempt at a cache, or gives up.
 func (b *Balancer) toCache(c *call) {
 	if to := b.next(c); to != nil && b.room(c) && b.mayRepeat(c, to) {
 		b.squeeze = max(0, b.squeeze-0.005)
@@ -61,10 +61,10 @@
 	b.giveUp(c)
 }
 
-// next picks the cache for the next shot: the nearest copy, else the home, else the successors.
+// next picks the cache for the next attempt: the nearest copy, else the home, else the successors.
 // A later pass drops a wish, never a bound: cold hosts, limits and hosts already asked stay out.
 func (b *Balancer) next(c *call) *cache {
-	mean := float64(b.shotsOut) / float64(max(1, len(b.byID)))
+	mean := float64(b.attemptsOut) / float64(max(1, len(b.byID)))
 	far := reach + 3*(1-b.squeeze)
 	if h := b.returned(c); h != nil {
 		return h
@@ -75,7 +75,7 @@
 			if float64(busy) > far {
 				break
 			}
-			asked := slices.ContainsFunc(c.shots, func(s shot) bool { return s.at == h })
+			asked := slices.ContainsFunc(c.attempts, func(s attempt) bool { return s.at == h })
 			if asked || pass == 0 && (b.host.Now() < h.absentUntil || !b.trusted(h, c) || b.scarce(h)) {
 				continue
 			}
@@ -115,8 +115,8 @@
 	return sum / max(n, 1)
 }
 
-// reported takes what a host tells of its load, or else that it kept a shot for long, since one that answers
-// nothing tells nothing: how long an API call takes there, against others.
+// reported takes what a host tells of its load, or else that it kept an attempt for long, since one that
+// answers nothing tells nothing: how long an API call takes there, against others.
 func (b *Balancer) reported(h *cache, c *call, e Ending) {
 	now := b.host.Now()
 	switch l := e.Load; {
@@ -144,8 +144,8 @@
 	h.toldAt = now
 }
 
-// scarce tells to pass a host by to which no connection is likely open, as often as shots lately found none:
-// hosts take only so many. New ones that come just then wait for the second look.
+// scarce tells to pass a host by to which no connection is likely open, as often as attempts lately found
+// none: hosts take only so many. New ones that come just then wait for the second look.
 func (b *Balancer) scarce(h *cache) bool {
 	if b.terms.KeepAlive == 0 || h.metAt > 0 && b.host.Now()-h.metAt < b.terms.KeepAlive {
 		return false
@@ -166,17 +166,18 @@
 	to.out++
 	to.owed = 0
 	if to != b.origin {
-		b.shotsOut++
+		b.attemptsOut++
 	}
-	c.shots = append(c.shots, shot{at: to, sent: now, out: true, well: to.well})
+	c.attempts = append(c.attempts, attempt{at: to, sent: now, out: true, well: to.well})
 	c.out++
 	left := max(1, c.Left-(now-c.began))
 	b.host.Send(c.ID, to.Cache, left, b.begins(c, left))
 }
 
-// begins is how long an attempt may take to begin: a repeat is dropped only within the window of what it repeats.
+// begins is how long an attempt may take to begin: a repeat is dropped only within the window of what it
+// repeats.
 func (b *Balancer) begins(c *call, left Nanos) Nanos {
-	for _, s := range c.shots {
+	for _, s := range c.attempts {
 		if s.ran && c.terms.Effect == Deduplicated {
 			left = min(left, s.sent+c.terms.Window-b.host.Now())
 		}
@@ -184,7 +185,7 @@
 	return left
 }
 
-// Ended takes the outcome of a shot.
+// Ended takes the outcome of an attempt.
 func (b *Balancer) Ended(e Ending) {
 	now := b.host.Now()
 	h, c := b.caches[e.Cache], b.calls[e.Call]
@@ -192,16 +193,16 @@
 		if h.out > 0 {
 			h.out--
 			if h != b.origin && b.up(h) {
-				b.shotsOut--
+				b.attemptsOut--
 			}
 		}
 		h.lastEnded, h.took = now, e.Took.seconds()
 		b.forget(h)
 	}
-	if c == nil || e.Shot < 0 || e.Shot >= len(c.shots) || !c.shots[e.Shot].out {
+	if c == nil || e.Attempt < 0 || e.Attempt >= len(c.attempts) || !c.attempts[e.Attempt].out {
 		return
 	}
-	s := &c.shots[e.Shot]
+	s := &c.attempts[e.Attempt]
 	s.out, s.ran, s.nobody = false, mayHaveRun(e.Outcome), e.Outcome == ConnectFailed
 	if h != nil && h != b.origin && e.Outcome != NeverSent {
 		b.met.tell(now, !s.nobody, s.nobody)
@@ -213,7 +214,7 @@
 	if h != nil {
 		b.learn(h, c, e, s)
 	}
-	if e.Shot > 0 && s.at != b.origin && !c.missed && e.Outcome != NeverSent && e.Outcome != Missed &&
+	if e.Attempt > 0 && s.at != b.origin && !c.missed && e.Outcome != NeverSent && e.Outcome != Missed &&
 		e.Outcome != ConnectFailed {
 		b.further.tell(now, e.Outcome == Fulfilled, e.Outcome != Fulfilled)
 	}
@@ -228,11 +229,11 @@
 	}
 }
 
-// again makes a further shot after one that failed, or gives up.
+// again makes a further attempt after one that failed, or gives up.
 func (b *Balancer) again(c *call, failed *cache) {
 	late := b.host.Now() >= c.began+c.terms.LatencySLO
-	// No host was given work by a shot that found nobody there: the next one feeds no overload.
-	tried := slices.ContainsFunc(c.shots, func(s shot) bool { return !s.nobody })
+	// No host was given work by an attempt that found nobody there: the next one feeds no overload.
+	tried := slices.ContainsFunc(c.attempts, func(s attempt) bool { return !s.nobody })
 	switch {
 	case late && c.terms.OverdueValue == 0 || tried && !b.furtherPays():
 		b.giveUp(c)
@@ -243,7 +244,7 @@
 	}
 }
 
-// furtherPays draws whether a further shot is made: as often as recent ones were fulfilled, so that in an
+// furtherPays draws whether a further attempt is made: as often as recent ones were fulfilled, so that in an
 // overload, where they are not, they stop feeding it. One in twenty is always made, to see it end.
 func (b *Balancer) furtherPays() bool {
 	good, bad := b.further.faded(b.host.Now())
@@ -269,11 +270,11 @@
 	return min(b.terms.MaxComeBack, Nanos(float64(left)*(0.3+0.4*b.chance())))
 }
 
-// finish forgets an API call once all of its shots have ended; until then they still teach.
+// finish forgets an API call once all of its attempts have ended; until then they still teach.
 func (b *Balancer) finish(c *call) {
 	if !c.over {
 		c.over = true
-		for i, s := range c.shots {
+		for i, s := range c.attempts {
 			if s.out && b.terms.MayCancel && !c.stream {
 				b.host.Cancel(c.ID, i)
 			}
@@ -333,10 +334,10 @@
 	return o != TurnedAway && o != ConnectFailed && o != NeverSent && o != Missed
 }
 
-// mayRepeat is the one place that says whether a shot may be sent now, given those before it.
+// mayRepeat is the one place that says whether an attempt may be sent now, given those before it.
 func (b *Balancer) mayRepeat(c *call, to *cache) bool {
-	return len(c.shots) < b.terms.MostShots && !c.over && c.out == 0 &&
-		b.harmless(c, func(s shot) bool {
+	return len(c.attempts) < b.terms.MostAttempts && !c.over && c.out == 0 &&
+		b.harmless(c, func(s attempt) bool {
 			return c.terms.Group == GroupAll || c.terms.Group == GroupZone && s.at.Zone == to.Zone ||
 				c.terms.Group == GroupCell && s.at.Cell == to.Cell
 		})
@@ -344,13 +345,13 @@
 
 // mayRateLimit: the reply promises that a retry is harmless, wherever it goes.
 func (b *Balancer) mayRateLimit(c *call) bool {
-	return b.harmless(c, func(shot) bool { return c.terms.Group == GroupAll })
+	return b.harmless(c, func(attempt) bool { return c.terms.Group == GroupAll })
 }
 
 // harmless guards against a second effect: non-idempotent work never runs again, and deduplicated work only
-// where and while every shot that may have run is remembered.
-func (b *Balancer) harmless(c *call, remembered func(shot) bool) bool {
-	return c.terms.Effect == Idempotent || !slices.ContainsFunc(c.shots, func(s shot) bool {
+// where and while every attempt that may have run is remembered.
+func (b *Balancer) harmless(c *call, remembered func(attempt) bool) bool {
+	return c.terms.Effect == Idempotent || !slices.ContainsFunc(c.attempts, func(s attempt) bool {
 		return (s.out || s.ran) && (c.terms.Effect == NonIdempotent ||
 			b.host.Now()-s.sent >= c.terms.Window || !remembered(s))
 	})
@@ -363,11 +364,11 @@
 
 // rebuild lays the ring anew. It is equal at every balancer, so nothing of the instance enters it.
 func (b *Balancer) rebuild() {
-	b.byID, b.shotsOut = b.byID[:0], 0
+	b.byID, b.attemptsOut = b.byID[:0], 0
 	for _, h := range b.caches {
 		if h != b.origin && b.up(h) {
 			b.byID = append(b.byID, h)
-			b.shotsOut += h.out
+			b.attemptsOut += h.out
 		}
 	}
 	slices.SortFunc(b.byID, func(x, y *cache) int { return cmp.Compare(x.Cache, y.Cache) })
@@ -586,8 +587,8 @@
 	calmLeast = 24         // endings that a slot needs: work differs by a factor of several
 )
 
-// delayOf is the part of its SLO that a shot took beyond its product's calmest slot lately, at caches as near
-// as its own: the way to another zone is no crowding.
+// delayOf is the part of its SLO that an attempt took beyond its product's calmest slot lately, at caches as
+// near as its own: the way to another zone is no crowding.
 func (b *Balancer) delayOf(h *cache, c *call, took Nanos) float64 {
 	m := &b.tempos[2*c.Product]
 	if h.Zone != b.terms.Zone {
@@ -601,8 +602,8 @@
 	return (took.seconds() - calm) / c.terms.LatencySLO.seconds()
 }
 
-// learn takes a shot's outcome into the host's health and limit and the product's tempo.
-func (b *Balancer) learn(h *cache, c *call, e Ending, s *shot) {
+// learn takes an attempt's outcome into the host's health and limit and the product's tempo.
+func (b *Balancer) learn(h *cache, c *call, e Ending, s *attempt) {
 	now, slo, full := b.host.Now(), c.terms.LatencySLO, e.Outcome == TurnedAway
 	good := (e.Outcome == Fulfilled || e.Outcome == Missed) && e.Took <= slo
 	bad := !good && !full && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Took >= slo/2)
@@ -619,7 +620,7 @@
 	if full { // a full host answers at once and looks idle: unrested it draws the traffic of all
 		h.rest = min(max(firstRest, 2*h.rest), Second)
 		h.restUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
-	} else if e.Outcome == ConnectFailed { // no one is there until the list tells more: each try takes a shot
+	} else if e.Outcome == ConnectFailed { // no one is there until the list tells more: a try costs an attempt
 		h.rest = min(max(Second, 2*h.rest), 8*Second)
 		h.absentUntil = now + Nanos(float64(h.rest)*(0.5+b.chance()))
 	} else if good {
@@ -638,7 +639,7 @@
 	b.adapt(h, slo, good, over, full, sum/(n+4)/crowdedAt)
 	if over || full {
 		b.fleetBears = max(b.least(), b.fleetBears*0.9)
-	} else if good && float64(b.shotsOut+1) >= b.fleetBears*float64(len(b.byID))/2 {
+	} else if good && float64(b.attemptsOut+1) >= b.fleetBears*float64(len(b.byID))/2 {
 		b.fleetBears = min(mostOut, b.fleetBears*1.03)
 	}
 	h.health.tell(now, good, bad)
@@ -672,13 +673,13 @@
 	}
 }
 
-// overdue tells a hang before the first time-out: how many of the shots out at a host should have ended since
-// one last did, by the usual pace.
+// overdue tells a hang before the first time-out: how many of the attempts out at a host should have ended
+// since one last did, by the usual pace.
 func (b *Balancer) overdue(h *cache) float64 {
 	return float64(h.out) * (b.host.Now() - max(h.lastEnded, h.busySince)).seconds() / b.usual()
 }
 
-// usual is how long a shot at a cache takes lately, in seconds; a second while nothing is known.
+// usual is how long an attempt at a cache takes lately, in seconds; a second while nothing is known.
 func (b *Balancer) usual() float64 {
 	took, n := b.pace.faded(b.host.Now())
 	return (took + 0.01) / (n + 0.01)
@@ -690,8 +691,8 @@
 
 // trusted draws from the posterior of the host's success and holds it against the fleet's, so that what
 // troubles all (a slow origin, an overload) blames none. What the host's zone did lately is the prior: a cut
-// or lost zone would else cost every balancer a shot at each of its hosts. Work that cannot be repeated takes
-// no draw.
+// or lost zone would else cost every balancer an attempt at each of its hosts. Work that cannot be repeated
+// takes no draw.
 func (b *Balancer) trusted(h *cache, c *call) bool {
 	mean, bar, n := b.standing(h)
 	if mean == 1 {
@@ -724,7 +725,7 @@
 	return (good + prior) / n, bar, n
 }
 
-// loneAfter is how many good endings, since the last bad one or since the shot was sent, make a failure a
+// loneAfter is how many good endings, since the last bad one or since the attempt was sent, make a failure a
 // stray: connections fall silent on any host, while crowding and hangs hold up most. 20 left limits low.
 const loneAfter = 10
 
@@ -734,7 +735,7 @@
 	leastOut  = 6                // all may have out at the least; of 2, 4, 6 and 8 six did best with crowdedAt
 	mostOut   = 256              // more than any host here was seen to need
 	firstRest = 20 * Millisecond // short against most work; doubled while it stays full
-	// A host whose shots are this part of their SLO later than in calm times holds too many.
+	// A host whose attempts are this part of their SLO later than in calm times holds too many.
 	crowdedAt = 0.03
 )
 
@@ -750,7 +751,8 @@
 func (b *Balancer) bears(h *cache, c *call) bool {
 	n, now := h.limit*b.portion(c), b.host.Now()
 	if n < 1 && h.out == 0 {
-		// Many balancers with one shot each still crowd a small host: less than one is one with a pause after it.
+		// Many balancers with one attempt each still crowd a small host: less than one is one with a pause after
+		// it.
 		return now >= h.restUntil && (now-h.lastEnded).seconds() >= max(b.usual(), h.took)*(1/n-1)
 	}
 	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
@@ -767,9 +769,9 @@
 }
 
 // room tells whether the fleet bears one more. One of hundreds of balancers meets a host too seldom to see it
-// crowded, but sees what became of its last shots: the limit of all falls where a quarter are not in time.
+// crowded, but sees what became of its last attempts: the limit of all falls where a quarter are not in time.
 func (b *Balancer) room(c *call) bool {
-	return float64(b.shotsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
+	return float64(b.attemptsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
 }
 
 // pressed notes that an API call within its allowance found no room: more of what lies beyond one is then
@@ -899,7 +901,7 @@
 
 // returned is a cache that was put back by hand and is due to be used.
 func (b *Balancer) returned(c *call) *cache {
-	if !b.owing || c.Write || len(c.shots) > 0 || c.terms.Effect != Idempotent {
+	if !b.owing || c.Write || len(c.attempts) > 0 || c.terms.Effect != Idempotent {
 		return nil
 	}
 	b.owing = false
@@ -920,9 +922,10 @@
 	}
 }
 
-// follow asks for the list, at a start or after a call for it that failed, at once or within againWithin. With a
-// list from before a start can wait: a release starts most balancers at once, and all their calls together held
-// discovery up for so long that none was answered in time. So did calls that failed, after 250 ms, doubled.
+// follow asks for the list, at a start or after a call for it that failed, at once or within againWithin.
+// With a list from before a start can wait: a release starts most balancers at once, and all their calls
+// together held discovery up for so long that none was answered in time. So did calls that failed, after 250
+// ms, doubled.
 func (b *Balancer) follow(atOnce bool) {
 	if !b.terms.MustSubscribe || b.retrying {
 		return
@@ -935,8 +938,8 @@
 	b.host.Wake(wait, "list")
 }
 
-// againWithin is of the six seconds after which news counts as told once discovery can be reached, whatever came
-// of earlier calls: one is left for the call itself.
+// againWithin is of the six seconds after which news counts as told once discovery can be reached, whatever
+// came of earlier calls: one is left for the call itself.
 const againWithin = 5 * Second
 
 // unitOf fixes once what a listed size counts for: units of a power of two, and by kind where sizes follow
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -25,7 +25,7 @@
 				t.Fatal(err)
 			}
 			s := &stage{T: t, owed: map[CallID]*debt{}, auto: map[CacheID]reply{}, hosts: map[CacheID]*seen{},
-				terms: Terms{Balancers: 1, OriginKind: -1, MayCancel: true, MostShots: 6, MaxComeBack: Second,
+				terms: Terms{Balancers: 1, OriginKind: -1, MayCancel: true, MostAttempts: 6, MaxComeBack: Second,
 					ColdFrom: 0.25, RampTime: 10 * Second, FallMultiple: 3, FallWindow: Second,
 					AskEvery: 10 * Second, Tick: Millisecond}}
 			for i, line := range strings.Split(string(text), "\n") {
@@ -55,16 +55,16 @@
 type reply struct {
 	outcome Outcome
 	took    Nanos
-	stray   int // every so many-th shot ends as instead
+	stray   int // every so many-th attempt ends as instead
 	as      Outcome
 	load    *Load
 }
 
 type debt struct {
-	in    Call
-	until Nanos
-	shots []shot
-	done  bool
+	in       Call
+	until    Nanos
+	attempts []attempt
+	done     bool
 }
 
 type seen struct {
@@ -117,12 +117,12 @@
 func (s *stage) Cancel(id CallID, n int) {
 	s.act("cancel %s %d", id, n)
 	d := s.owed[id]
-	s.later(Millisecond, func() { s.end(id, n, Cancelled, s.now-d.shots[n].sent) })
+	s.later(Millisecond, func() { s.end(id, n, Cancelled, s.now-d.attempts[n].sent) })
 }
 
 // mayRun is the table of the wire: what an outcome proves.
-func (s *stage) mayRun(d *debt, group func(shot) bool) bool {
-	for _, x := range d.shots {
+func (s *stage) mayRun(d *debt, group func(attempt) bool) bool {
+	for _, x := range d.attempts {
 		if !x.out && !x.ran {
 			continue
 		}
@@ -140,7 +140,7 @@
 	s.counts[fmt.Sprint("zone", s.hosts[to].Zone)]++
 	d, h := s.owed[id], s.hosts[to]
 	out := 0
-	for _, x := range d.shots {
+	for _, x := range d.attempts {
 		if x.out {
 			out++
 		}
@@ -148,14 +148,14 @@
 	switch {
 	case d.done || s.now > d.until:
 		s.Errorf("%s: rule 1: %s sent after its end", s.where, id)
-	case !s.mayRun(d, func(x shot) bool {
+	case !s.mayRun(d, func(x attempt) bool {
 		e, p := x.at.Entry, s.terms.Products[d.in.Product]
 		return p.Group == GroupAll || p.Group == GroupZone && e.Zone == h.Zone || p.Group == GroupCell && e.Cell == h.Cell
 	}):
 		s.Errorf("%s: rule 2: %s may run twice", s.where, id)
-	case out > 0 || len(d.shots) >= s.terms.MostShots:
-		s.Errorf("%s: too many shots of %s", s.where, id)
-	case begin > timeout || slices.ContainsFunc(d.shots, func(x shot) bool {
+	case out > 0 || len(d.attempts) >= s.terms.MostAttempts:
+		s.Errorf("%s: too many attempts of %s", s.where, id)
+	case begin > timeout || slices.ContainsFunc(d.attempts, func(x attempt) bool {
 		p := s.terms.Products[d.in.Product]
 		return x.ran && p.Effect == Deduplicated && s.now+begin > x.sent+p.Window
 	}):
@@ -177,8 +177,8 @@
 			s.Errorf("%s: rule 4: %d sent to cold %s, %.1f allowed", s.where, n, to, most)
 		}
 	}
-	n := len(d.shots)
-	d.shots = append(d.shots, shot{at: &cache{Entry: h.Entry}, sent: s.now, out: true})
+	n := len(d.attempts)
+	d.attempts = append(d.attempts, attempt{at: &cache{Entry: h.Entry}, sent: s.now, out: true})
 	r, ok := s.auto[to]
 	if o, off := s.off[d.in.Customer]; off && ok {
 		r = reply{outcome: o, took: Millisecond}
@@ -196,14 +196,14 @@
 
 func (s *stage) end(id CallID, n int, o Outcome, took Nanos) {
 	d := s.owed[id]
-	x := &d.shots[n]
+	x := &d.attempts[n]
 	if !x.out { // it was cancelled or answered before
 		return
 	}
 	x.out, x.ran = false, o != TurnedAway && o != ConnectFailed && o != NeverSent && o != Missed
 	was := d.done
 	d.done = d.done || o == Fulfilled
-	s.b.Ended(Ending{Call: id, Shot: n, Final: was || o == Fulfilled, Outcome: o, Took: took, Cache: x.at.Cache, Load: s.told})
+	s.b.Ended(Ending{Call: id, Attempt: n, Final: was || o == Fulfilled, Outcome: o, Took: took, Cache: x.at.Cache, Load: s.told})
 }
 
 func (s *stage) final(id CallID, what string) {
@@ -214,7 +214,7 @@
 	if d.done || s.now > d.until {
 		s.Errorf("%s: rule 1: %s ended twice or late", s.where, id)
 	}
-	all := func(shot) bool { return s.terms.Products[d.in.Product].Group == GroupAll }
+	all := func(attempt) bool { return s.terms.Products[d.in.Product].Group == GroupAll }
 	if what == "ratelimit" && !s.mayRun(d, all) {
 		s.Errorf("%s: rule 2: %s rate-limited though it may have run", s.where, id)
 	}
@@ -292,7 +292,7 @@
 		t.Aside, t.MustSubscribe, t.LiveSizes = o["aside"] != "", o["subscribe"] != "", o["live"] != ""
 		t.CrossPrice, t.FetchPrice = o.num("cross", 0), o.num("fetch", 0)
 		t.OriginKind = Kind(o.num("origin", -1))
-		t.MostShots = int(o.num("shots", 6))
+		t.MostAttempts = int(o.num("shots", 6))
 		t.KeepAlive = o.ms("keep", 0)
 	case "customer": // customer N OUTCOME: from now on all hosts answer it so
 		if len(w) == 3 {
@@ -376,7 +376,7 @@
 		s.did = nil
 	case "end":
 		n, _ := strconv.Atoi(w[2])
-		s.end(CallID(w[1]), n, outcomeWords[w[3]], s.now-s.owed[CallID(w[1])].shots[n].sent)
+		s.end(CallID(w[1]), n, outcomeWords[w[3]], s.now-s.owed[CallID(w[1])].attempts[n].sent)
 	case "abandon":
 		s.owed[CallID(w[1])].done = true
 		s.b.Abandoned(CallID(w[1]))
@@ -390,7 +390,7 @@
 		if n, _ := strconv.Atoi(w[1]); len(s.b.caches) != n {
 			s.Errorf("%s: it remembers %d", s.where, len(s.b.caches))
 		}
-	case "bears": // bears LEAST: shots out at a host that the fleet is seen to bear
+	case "bears": // bears LEAST: attempts out at a host that the fleet is seen to bear
 		if least, _ := strconv.ParseFloat(w[1], 64); s.b.fleetBears < least {
 			s.Errorf("%s: it is %.3f", s.where, s.b.fleetBears)
 		}
--- a/policy/sizes_test.go
+++ b/policy/sizes_test.go
@@ -42,14 +42,14 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			h := &still{now: Second}
-			m := New(h, Terms{Balancers: 350, MostShots: 4, Products: []ProductTerms{{LatencySLO: Second, BilledValue: 1}}, OriginKind: -1, FallWindow: Second}, 1)
+			m := New(h, Terms{Balancers: 350, MostAttempts: 4, Products: []ProductTerms{{LatencySLO: Second, BilledValue: 1}}, OriginKind: -1, FallWindow: Second}, 1)
 			m.Listed(ListReplace, entries(n, 0, Up))
 			for i := 0; b.Loop(); i++ {
 				h.now += 10 * Millisecond
 				id := CallID(fmt.Sprint(i))
 				m.Arrived(Call{ID: id, Key: Key(fmt.Sprint("key", i%1000)), Left: Second})
-				if c := m.calls[id]; c != nil && len(c.shots) > 0 {
-					m.Ended(Ending{Call: id, Outcome: Fulfilled, Took: 50 * Millisecond, Cache: c.shots[0].at.Cache})
+				if c := m.calls[id]; c != nil && len(c.attempts) > 0 {
+					m.Ended(Ending{Call: id, Outcome: Fulfilled, Took: 50 * Millisecond, Cache: c.attempts[0].at.Cache})
 				}
 			}
 		})
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,27 +18,27 @@
 	byID               []*cache // the caches that are up, in the order of their ids; never the origin
 	origin             *cache   // never nil
 	ring               ring
-	shotsOut           int              // at byID
+	attemptsOut        int              // at byID
 	unit               float64          // listed size that gets the nominal number of points
 	ofKind             map[Kind]float64 // stands for the listed size where that follows the load
 	calls              map[CallID]*call
 	table              keyTable
 	allowances         []allowance
-	tempos             []meter // by product, in the zone and across: seconds that shots at caches took, and how many
+	tempos             []meter // by product, in the zone and across: seconds that attempts at caches took, and how many
 	topValue, squeeze  float64
 	began              Nanos
 	able               float64          // sizes of byID, as far as they are warm
 	pace               meter            // the same of all products
-	all, done, further meter            // shots at caches, those that were good for a unit of able, further shots
+	all, done, further meter            // attempts at caches, those that were good for a unit of able, further attempts
 	zones              map[Zone]*meter  // as all, by the caches' zones
-	fleetBears         float64          // shots out at a host that the fleet is seen to bear
+	fleetBears         float64          // attempts out at a host that the fleet is seen to bear
 	held               float64          // a core, by the mean of caches, where the list tells
 	out                map[CacheID]bool // taken out by hand, whatever the list says
 	retrying           bool             // a try to follow the list is due
 	owing              bool             // some cache's owed may be set
 	told               meter            // as cache.told, of all
-	met                meter            // shots at caches that found a connection, and that did not
-	beside             int              // shots out at the origin from the other process of an upgrade
+	met                meter            // attempts at caches that found a connection, and that did not
+	beside             int              // attempts out at the origin from the other process of an upgrade
 	paired             bool             // there is one
 }
 
@@ -48,24 +48,24 @@
 	weight               float64
 	place                int // in byID
 	onRing               bool
-	out                  int // this balancer's shots that have not ended
+	out                  int // this balancer's attempts that have not ended
 	busySince, lastEnded Nanos
 	held                 float64 // API calls a core, as listed
-	limit                float64 // shots out that it is seen to bear
+	limit                float64 // attempts out that it is seen to bear
 	cutAt                Nanos
 	well, badAt          int // good endings, and how many there were at the last bad one
 	rest, restUntil      Nanos
-	metAt                Nanos // a shot last found a connection
+	metAt                Nanos // an attempt last found a connection
 	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
 	back                 Nanos   // put back by hand: what was known of it before holds no more
 	told                 float64 // by its last report: how long a further API call would take there
 	toldAt               Nanos
-	took                 float64 // seconds, by the shot that ended last
+	took                 float64 // seconds, by the attempt that ended last
 	owed                 Nanos   // put back by hand and not used since: it is, once this has come
 	budget               float64 // API calls that it may still get while cold
 	budgetAt             Nanos
-	delay                meter   // of its shots beyond calm times, in parts of their SLOs
+	delay                meter   // of its attempts beyond calm times, in parts of their SLOs
 	saidGood, saidBad    float64 // endings that it is worth what other balancers say of it
 }
 
@@ -73,14 +73,14 @@
 	Call
 	terms        *ProductTerms
 	began        Nanos
-	shots        []shot
+	attempts     []attempt
 	out          int
 	over, stream bool
 	above        bool // beyond its customer's allowance
 	missed       bool // a cache lacked its key
 }
 
-type shot struct {
+type attempt struct {
 	at     *cache
 	sent   Nanos
 	out    bool
@@ -224,7 +224,7 @@
 type Learnt struct {
 	Balancers          int // among which the older one's bounds were parts of a whole
 	FleetBears, Origin float64
-	Pace               float64 // seconds that a shot at a cache takes; 0: not known
+	Pace               float64 // seconds that an attempt at a cache takes; 0: not known
 	Caches             []LearntOf
 }
 
@@ -254,7 +254,7 @@
 	return l
 }
 
-// TakeOver takes it, after the list and before the first API call. How shots at a host ended means the same to any
+// TakeOver takes it, after the list and before the first API call. How attempts at a host ended means the same to any
 // balancer, as long as the same process runs there. Bounds are parts of what all may have out: among another number
 // of balancers they are learnt afresh.
 func (b *Balancer) TakeOver(l Learnt) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -24,14 +24,14 @@
 type Host interface {
 	Now() Nanos
 	Send(call CallID, to CacheID, timeout, begin Nanos) // begin: it is not sent where it cannot begin within that
-	Cancel(call CallID, shot int)
+	Cancel(call CallID, attempt int)
 	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
 	Error(call CallID)                     // final; promises nothing
 	Subscribe()
 	Wake(after Nanos, id WakeID)
 }
 
-// Outcome is how a shot ended.
+// Outcome is how an attempt ended.
 type Outcome int
 
 const (
@@ -112,10 +112,10 @@
 	Took   float64 // seconds that an API call took lately, without waiting
 }
 
-// Ending is the outcome of one shot.
+// Ending is the outcome of one attempt.
 type Ending struct {
 	Call    CallID
-	Shot    int
+	Attempt int
 	Final   bool // the API call is over
 	Outcome Outcome
 	Took    Nanos
@@ -146,7 +146,7 @@
 	Aside         bool // caches answer a miss and take no writes; the balancer asks the origin
 	OriginKind    Kind // -1: the origin is not listed
 	MayCancel     bool
-	MostShots     int
+	MostAttempts  int
 	MaxComeBack   Nanos // 0: clients take no advice
 	LiveSizes     bool  // listed sizes follow the load
 	SizesEqual    bool  // listed sizes say nothing
@@ -157,6 +157,6 @@
 	AskEvery      Nanos
 	KeepAlive     Nanos // an idle connection lasts so long; 0: not told
 	Tick          Nanos
-	CrossPrice    float64 // for a shot that crosses zones, as a part of an API call's billed value
+	CrossPrice    float64 // for an attempt that crosses zones, as a part of an API call's billed value
 	FetchPrice    float64 // for a fetch from the origin, likewise
 }
