Count a request's time from when it came, also where it was read ahead

Each piece keeps its time now. TestTimeOfWhatIsReadAhead fails without (counts from the connection's opening).

--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -25,11 +26,18 @@
 
 // ahead is what has been read of a connection while its reader could not take it.
 type ahead struct {
+	pieces []piece
+	size   int                  // of all
+	end    error                // of the stream, behind them
+	room   func(bytes int) bool // asks for memory, or gives some back; nil: there is enough
+	held   int                  // bytes of it
+	mu     sync.Mutex           // over the connection's time limit, while another goroutine reads ahead
+}
+
+// piece is what one read brought: a request's time counts from when it came, however long it stands here.
+type piece struct {
 	bytes []byte
-	end   error                // of the stream, behind the bytes
-	room  func(bytes int) bool // asks for memory, or gives some back; nil: there is enough
-	held  int                  // bytes of it
-	mu    sync.Mutex           // over the connection's time limit, while another goroutine reads ahead
+	at    time.Time
 }
 
 // drop gives all memory back.
@@ -37,19 +45,25 @@
 	if a.room != nil {
 		a.room(-a.held)
 	}
-	a.bytes, a.held = nil, 0
+	a.pieces, a.size, a.held = nil, 0, 0
 }
 
-// take gives what was read ahead first; none: the connection itself is to be read.
-func (a *ahead) take(p []byte) (n int, none bool, err error) {
-	if len(a.bytes) > 0 {
-		n = copy(p, a.bytes)
-		if a.bytes = a.bytes[n:]; len(a.bytes) == 0 {
-			a.drop()
-		}
-		return n, false, nil
+// take gives what was read ahead first, and when that came; none: the connection itself is to be read.
+func (a *ahead) take(p []byte) (n int, at time.Time, none bool, err error) {
+	if len(a.pieces) == 0 {
+		return 0, at, a.end == nil, a.end
+	}
+	first := &a.pieces[0]
+	at = first.at
+	n = copy(p, first.bytes)
+	a.size -= n
+	if first.bytes = first.bytes[n:]; len(first.bytes) == 0 {
+		a.pieces = a.pieces[1:]
 	}
-	return 0, a.end == nil, a.end
+	if a.size == 0 {
+		a.drop()
+	}
+	return n, at, false, nil
 }
 
 // leaves notes that the client has gone away: it has closed the connection, or reset it. One that has only ended its sending
@@ -96,7 +110,7 @@
 
 // readAhead reads on until the wait is over, the client's end or the bound.
 func (c *client) readAhead(over <-chan struct{}) {
-	for len(c.ahead.bytes) < mostAhead && c.ahead.end == nil {
+	for c.ahead.size < mostAhead && c.ahead.end == nil {
 		c.ahead.mu.Lock()
 		select {
 		case <-over:
@@ -117,13 +131,17 @@
 
 // add reads once; false where there is no memory for more.
 func (a *ahead) add(read func([]byte) (int, error)) bool {
-	var piece [aheadPiece]byte
-	n, err := read(piece[:])
+	var room [aheadPiece]byte
+	n, err := read(room[:])
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		a.end = err
 	}
-	a.bytes = append(a.bytes, piece[:n]...)
-	if a.room != nil && n > 0 {
+	if n == 0 {
+		return true
+	}
+	a.pieces = append(a.pieces, piece{bytes.Clone(room[:n]), time.Now()})
+	a.size += n
+	if a.room != nil {
 		if !a.room(n) {
 			return false
 		}
@@ -135,7 +153,7 @@
 // look tells whether anything has come that is not read yet, the client's end too. It asks the system, whatever time it is:
 // a wait of any length may be over before the first look on a busy machine.
 func (c *client) look() bool {
-	if c.in.Buffered() > 0 || len(c.ahead.bytes) > 0 || c.ahead.end != nil {
+	if c.in.Buffered() > 0 || c.ahead.size > 0 || c.ahead.end != nil {
 		return true
 	}
 	conn, ok := c.net.(syscall.Conn)
@@ -160,7 +178,7 @@
 			return n, nil
 		})
 	})
-	return len(c.ahead.bytes) > 0 || c.ahead.end != nil
+	return c.ahead.size > 0 || c.ahead.end != nil
 }
 
 // finish ends the connection once all of its commands are answered. Closed over bytes that have come unread it would be reset,
--- a/internal/balancer/ends_test.go
+++ b/internal/balancer/ends_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -271,3 +272,26 @@
 		})
 	}
 }
+
+// A request's time counts from when it came, also where it stood behind others and was read ahead: neither from when those came,
+// which would turn it away too early, nor from when it is taken, which would answer it too late.
+func TestTimeOfWhatIsReadAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		c := newClient(near)
+		var came []time.Time
+		for _, text := range []string{"mn\r\n", "mn\r\nm", "n\r\n"} {
+			time.Sleep(time.Second)
+			came = append(came, time.Now())
+			c.ahead.add(func(p []byte) (int, error) { return copy(p, text), nil })
+		}
+		time.Sleep(time.Second)
+		for i, want := range []time.Time{came[0], came[1], came[2]} {
+			if line, err := c.in.ReadSlice('\n'); err != nil || string(line) != "mn\r\n" || !c.lastRead().Equal(want) {
+				t.Errorf("request %d: %q, %v, counts from %v, came after %v", i, line, err, c.lastRead().Sub(c.opened), want.Sub(c.opened))
+			}
+		}
+	})
+}
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -70,8 +70,11 @@
 
 // Read notes the time, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
-	n, none, err := c.ahead.take(p)
+	n, at, none, err := c.ahead.take(p)
 	if !none {
+		if n > 0 {
+			c.readAt.Store(int64(at.Sub(c.opened)))
+		}
 		return n, err
 	}
 	n, err = c.net.Read(p)
