Take memory for what is read ahead by the one check that values in hand use

Seen on reading the change again: serve made a function of its own that repeated the check of call.hold, and gave memory back through a negative size. Balancer.hold is that check for both now; who reads ahead gives back what it took.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -30,10 +30,18 @@
 
 // hold takes memory for a value until the API call is left; false where there is no room for it.
 func (c *call) hold(bytes int) bool {
-	if c.b.held.Add(int64(bytes)) > c.b.mostHeld.Load() {
-		c.b.held.Add(-int64(bytes))
+	held := c.b.hold(bytes)
+	if held {
+		c.held.Add(int64(bytes))
+	}
+	return held
+}
+
+// hold takes memory for values in hand; false where there is no room for it. Who takes some gives it back.
+func (b *Balancer) hold(bytes int) bool {
+	if b.held.Add(int64(bytes)) > b.mostHeld.Load() {
+		b.held.Add(-int64(bytes))
 		return false
 	}
-	c.held.Add(int64(bytes))
 	return true
 }
--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -27,11 +27,11 @@
 // ahead is what has been read of a connection while its reader could not take it.
 type ahead struct {
 	pieces []piece
-	size   int                  // of all
-	end    error                // of the stream, behind them
-	room   func(bytes int) bool // asks for memory, or gives some back; nil: there is enough
-	held   int                  // bytes of it
-	mu     sync.Mutex           // over the connection's time limit, while another goroutine reads ahead
+	size   int        // of all
+	end    error      // of the stream, behind them
+	b      *Balancer  // whose memory it is; nil: there is enough
+	held   int        // bytes of it
+	mu     sync.Mutex // over the connection's time limit, while another goroutine reads ahead
 }
 
 // piece is what one read brought: a request's time counts from when it came, however long it stands here.
@@ -42,8 +42,8 @@
 
 // drop gives all memory back.
 func (a *ahead) drop() {
-	if a.room != nil {
-		a.room(-a.held)
+	if a.b != nil {
+		a.b.held.Add(-int64(a.held))
 	}
 	a.pieces, a.size, a.held = nil, 0, 0
 }
@@ -141,8 +141,8 @@
 	}
 	a.pieces = append(a.pieces, piece{bytes.Clone(room[:n]), time.Now()})
 	a.size += n
-	if a.room != nil {
-		if !a.room(n) {
+	if a.b != nil {
+		if !a.b.hold(n) {
 			return false
 		}
 		a.held += n
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -115,13 +115,7 @@
 // hears when the client goes away.
 func (b *Balancer) serve(c *client) {
 	defer b.clients.leave(c)
-	c.ahead.room = func(bytes int) bool {
-		if b.held.Add(int64(bytes)) > b.mostHeld.Load() && bytes > 0 {
-			b.held.Add(-int64(bytes))
-			return false
-		}
-		return true
-	}
+	c.ahead.b = b
 	defer c.ahead.drop()
 	for {
 		for b.command(c) && b.in() <= Leaving {
