Tell every server, the origin too, no more time than its client has left

The origin got the list of names and values as it came, with the client's own `d`, however much of it a cache had used up (upstream/conn.go, write). Spans were counted anew at each stage: live worked `left` out before it had the mutex, the module counted it from its own later clock, call.send from a still later one, after the order had lain in the mailbox. A long write told the client's time and 30 s more, the time that its value may take to come. 4. A request counted from the read of its last byte. What had stood in the accept queue, behind a reader that had stopped, in the client's own buffers behind a closed window, or through a stop of the process came too late for that. 5. A write that a server does not take was waited for with the `d` of its beginning.

Ruled out: the wall clock (all spans were monotonic), rounding (1 ms), attempts that wait for a connection (`d` was worked out at the write), readers with 32 requests in hand (what is read ahead has its own time).

Now: package deadline holds an instant, fixed once where the last byte was read; policy.Host.Send and policy.Call take instants of the module's clock. What a server is told is worked out right before the write, less 25 ms for the way, 0.3 s for a long value and 0.5 s for a streamed one (a half and a quarter of what is left at the most); under a millisecond nothing is sent. Package stall notices when the process was held up, and receiver tells when bytes had arrived at the earliest: it sees whether a read had to wait, and asks the system (TCP_INFO) where that leaves more than 40 ms open. An upload that the server takes more slowly than the client wrote it is ended before its last byte.

--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -242,6 +242,7 @@
 func (b *Balancer) accept(listener net.Listener) {
 	defer b.clients.close()
 	wait := time.Millisecond
+	queueEmpty := b.listening // until something is known of the queue of connections that wait to be accepted
 	for {
 		for b.clients.full() {
 			select {
@@ -250,6 +251,7 @@
 				b.clients.room(nil) // for one of those that wait to be taken
 			}
 		}
+		began := time.Now()
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -261,7 +263,10 @@
 			continue
 		}
 		wait = time.Millisecond
-		c := newClient(conn)
+		if ended := time.Now(); ended.Sub(began) >= promptRead { // it waited, so that the queue was empty
+			queueEmpty = b.stalls.Earliest(began, ended)
+		}
+		c := newClient(conn, b.stalls, queueEmpty)
 		b.clients.enter(c)
 		go b.serve(c)
 	}
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -9,8 +9,7 @@
 // send starts an attempt; how it ends comes back through c.ended.
 func (c *call) send(o order) {
 	n, sent := len(c.attempts), time.Now()
-	s := &upstream.Attempt{To: o.to, Command: &c.Command, Value: c.value, Until: sent.Add(time.Duration(o.time)),
-		Begin: sent.Add(time.Duration(o.begin))}
+	s := &upstream.Attempt{To: o.to, Command: &c.Command, Value: c.value, Deadline: o.deadline, BeginBy: o.beginBy}
 	s.Room = c.hold
 	s.Pass = c.pass
 	if c.upload != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -18,16 +18,19 @@
 	"streamrail/internal/handover"
 	"streamrail/internal/operator"
 	"streamrail/internal/pool"
+	"streamrail/internal/stall"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
 )
 
 // Balancer is one running balancer.
 type Balancer struct {
-	told  *deployment.Deployment
-	log   zerolog.Logger
-	hosts *upstream.Hosts
-	epoch time.Time // the module's clock is Unix time that goes on from here
+	told      *deployment.Deployment
+	log       zerolog.Logger
+	hosts     *upstream.Hosts
+	epoch     time.Time // the module's clock is Unix time that goes on from here
+	stalls    *stall.Detector
+	listening time.Time // no client's connection came before that
 
 	phase     atomic.Int32
 	changed   chan struct{} // a phase was ordered
@@ -93,6 +96,9 @@
 	b.upgrade.answers = make(chan handover.Message, 4)
 	b.wakes.armed = never
 	b.running, b.end = context.WithCancel(context.Background())
+	b.listening = b.epoch
+	b.stalls = stall.New(b.epoch)
+	go b.beat()
 	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
 	b.limits = b.newLimits(own.Connections.Openings)
 	b.orders = b.newOrders()
@@ -101,6 +107,20 @@
 	return b
 }
 
+// beat tells the stall detector that the process runs.
+func (b *Balancer) beat() {
+	t := time.NewTicker(stall.Period)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			b.stalls.Beat(time.Now())
+		case <-b.running.Done():
+			return
+		}
+	}
+}
+
 const (
 	// upstreamPart is the eighths of the room for connections to hosts. Clients hold a third of the descriptors at most
 	// for API calls, and each of those needs one to a host; what else connects stands on the clients' side.
--- /dev/null
+++ b/internal/balancer/deadline_test.go
@@ -0,0 +1,518 @@
+package balancer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"streamrail/internal/deployment"
+	"streamrail/internal/discovery"
+	"streamrail/internal/operator"
+	"streamrail/policy"
+)
+
+// deadlineSlack is what the deadline that a server is told may exceed the client's by, at the most.
+const deadlineSlack = 150 * time.Millisecond
+
+// repeatWindow is how long the hosts of these tests recognise a repeat of a deduplicated request.
+const repeatWindow = 600 * time.Millisecond
+
+// promised is what a client said when it sent a request.
+type promised struct {
+	sent time.Time
+	wait time.Duration
+}
+
+// seenAttempt is one attempt as it left the balancer for a server.
+type seenAttempt struct {
+	id     string
+	server string
+	at     time.Time // when its last byte was written
+	told   time.Duration
+	write  bool
+}
+
+// ledger holds what clients sent and what was written to servers.
+type ledger struct {
+	mu       sync.Mutex
+	requests map[string]promised
+	attempts []seenAttempt
+	refused  map[[2]string]bool // by request and server: its answer tells that nothing ran there
+}
+
+func newLedger() *ledger {
+	return &ledger{requests: map[string]promised{}, refused: map[[2]string]bool{}}
+}
+
+func (l *ledger) sent(ids []string, wait time.Duration) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		l.requests[id] = promised{now, wait}
+	}
+}
+
+func (l *ledger) saw(a seenAttempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts = append(l.attempts, a)
+}
+
+func (l *ledger) refuses(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused[[2]string{id, server}] = true
+}
+
+// violation is one attempt that broke a rule of time.
+type violation struct {
+	attempt seenAttempt
+	rule    string
+	by      time.Duration
+}
+
+// check holds every attempt against its client's deadline, and repeats of writes against the window.
+func (l *ledger) check() (broken []violation, attempts int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := map[string]time.Time{}
+	for _, a := range l.attempts {
+		request, known := l.requests[a.id]
+		if !known {
+			broken = append(broken, violation{a, "never sent by a client", 0})
+			continue
+		}
+		deadline := request.sent.Add(request.wait)
+		if by := a.at.Add(a.told).Sub(deadline); by > deadlineSlack {
+			broken = append(broken, violation{a, "told more than the client has left", by})
+		}
+		if by := a.at.Sub(deadline); by > deadlineSlack {
+			broken = append(broken, violation{a, "written after the deadline", by})
+		}
+		if began, repeat := first[a.id]; !repeat {
+			if !l.refused[[2]string{a.id, a.server}] {
+				first[a.id] = a.at
+			}
+		} else if by := a.at.Sub(began.Add(repeatWindow)); a.write && by > 0 {
+			broken = append(broken, violation{a, "repeated after the window", by})
+		}
+	}
+	return broken, len(l.attempts)
+}
+
+// recordedConn is a connection to a server. It notes each attempt when its last byte is written, and may hold a write up.
+type recordedConn struct {
+	net.Conn
+	server  string
+	ledger  *ledger
+	holdUp  func() time.Duration
+	pending []byte
+}
+
+func (c *recordedConn) Write(p []byte) (int, error) {
+	time.Sleep(c.holdUp())
+	at := time.Now()
+	n, err := c.Conn.Write(p)
+	c.pending = append(c.pending, p[:n]...)
+	for {
+		a, size := wholeAttempt(c.pending)
+		if size == 0 {
+			return n, err
+		}
+		c.pending = c.pending[size:]
+		a.at, a.server = at, c.server
+		c.ledger.saw(a)
+	}
+}
+
+// wholeAttempt reads the first attempt of what was written, of either protocol; size 0: it is not whole yet.
+func wholeAttempt(text []byte) (a seenAttempt, size int) {
+	line, _, found := bytes.Cut(text, []byte("\r\n"))
+	if !found {
+		return a, 0
+	}
+	words := strings.Fields(string(line))
+	if strings.HasSuffix(string(line), "HTTP/1.1") {
+		return wholeOriginAttempt(text, words[0] == "PUT")
+	}
+	size = len(line) + 2
+	if words[0] == "ms" {
+		length, _ := strconv.Atoi(words[2])
+		size += length + 2
+		a.write = true
+	}
+	if len(text) < size {
+		return a, 0
+	}
+	for _, word := range words[1:] {
+		switch word[0] {
+		case 'O':
+			a.id = word[1:]
+		case 'P':
+			a.told = toldIn(word[1:])
+		}
+	}
+	return a, size
+}
+
+func wholeOriginAttempt(text []byte, write bool) (a seenAttempt, size int) {
+	head, _, found := bytes.Cut(text, []byte("\r\n\r\n"))
+	if !found {
+		return a, 0
+	}
+	a.write, size = write, len(head)+4
+	for _, line := range strings.Split(string(head), "\r\n")[1:] {
+		name, value, _ := strings.Cut(line, ": ")
+		switch strings.ToLower(name) {
+		case "x-request-id":
+			a.id = value
+		case "x-attrs":
+			a.told = toldIn(value)
+		case "content-length":
+			length, _ := strconv.Atoi(value)
+			size += length
+		}
+	}
+	if len(text) < size {
+		return a, 0
+	}
+	return a, size
+}
+
+// toldIn is the deadline in a list of names and values.
+func toldIn(attrs string) time.Duration {
+	for _, pair := range strings.Split(attrs, ",") {
+		if digits, is := strings.CutPrefix(pair, "d="); is {
+			ms, _ := strconv.Atoi(digits)
+			return time.Duration(ms) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// draws is a seeded source of chance that several goroutines use.
+type draws struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func newDraws(seed uint64) *draws { return &draws{rand: rand.New(rand.NewPCG(seed, 1))} }
+
+func (d *draws) upTo(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rand.IntN(n)
+}
+
+func (d *draws) span(most time.Duration) time.Duration { return time.Duration(d.upTo(int(most) + 1)) }
+
+// faultyFleet is a balancer on loopback sockets with cache hosts and an origin that misbehave by draw.
+type faultyFleet struct {
+	*Balancer
+	ledger *ledger
+	draws  *draws
+	addr   string
+}
+
+type fleetFaults struct {
+	answers    []string      // what cache hosts do, one drawn for each attempt
+	origin     []string      // the same of the origin
+	refused    int           // of a hundred connections to servers
+	lateOpen   time.Duration // how late a connection comes up, at the most
+	writeDelay time.Duration // between the clock and a write, at the most
+	lock       time.Duration // for how long the decisions are held up now and then, at the most
+	through    bool          // caches take writes and fetch what they lack: there is no origin
+}
+
+func newFaultyFleet(t *testing.T, seed uint64, faults fleetFaults) *faultyFleet {
+	f := &faultyFleet{ledger: newLedger(), draws: newDraws(seed)}
+	terms := func(effect policy.Effect) policy.ProductTerms {
+		return policy.ProductTerms{LatencySLO: 5 * policy.Second, BilledValue: 1, Effect: effect, Window: policy.Nanos(repeatWindow)}
+	}
+	deployed := &deployment.Deployment{Name: "n", Sockets: 1024, MemoryMB: 192, DrainGrace: time.Second, ConnectTimeout: time.Second, IdleLimit: time.Minute,
+		ClientTimeout: 3 * time.Second, MostOpen: 1000, Zones: map[string]policy.Zone{"here": 0}, Kinds: map[string]policy.Kind{"cache": 0, "origin": 1},
+		Products: map[string]policy.Product{"marked": 0, "read": 1, "pay": 2},
+		Terms: policy.Terms{Balancers: 1, Products: []policy.ProductTerms{terms(policy.Deduplicated), terms(policy.Idempotent), terms(policy.NonIdempotent)},
+			OriginKind: 1, Aside: !faults.through, MayCancel: true, MostAttempts: 6, Tick: policy.Millisecond}}
+	f.Balancer = New(deployed, &operator.File{}, zerolog.Nop())
+	names := map[string]string{}
+	list := discovery.List{Whole: true}
+	for i := range 5 {
+		name := "cache-" + strconv.Itoa(i)
+		names[f.cacheHost(t, name, faults.answers)] = name
+	}
+	if !faults.through {
+		names[f.originHost(t, faults.origin)] = "origin"
+	}
+	for addr, name := range names {
+		kind := policy.Kind(0)
+		if name == "origin" {
+			kind = 1
+		}
+		list.Hosts = append(list.Hosts, discovery.Host{Addr: addr, Entry: policy.Entry{Cache: policy.CacheID(name), Kind: kind, Size: 1}})
+	}
+	f.hosts.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if f.draws.upTo(100) < faults.refused {
+			return nil, errors.New("refused by the test")
+		}
+		select {
+		case <-time.After(f.draws.span(faults.lateOpen)):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		holdUp := func() time.Duration { return f.draws.span(faults.writeDelay) }
+		return &recordedConn{Conn: conn, server: names[addr], ledger: f.ledger, holdUp: holdUp}, nil
+	}
+	f.listed(policy.ListRestored, list)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.addr = listener.Addr().String()
+	f.phase.Store(int32(Serving))
+	go f.accept(listener)
+	over := make(chan struct{})
+	if faults.lock > 0 {
+		go f.holdUpDecisions(faults.lock, over)
+	}
+	t.Cleanup(func() { close(over); listener.Close(); f.hosts.Close(); f.end() })
+	return f
+}
+
+// holdUpDecisions keeps the lock of the decisions now and then: who waits for it is held up.
+func (f *faultyFleet) holdUpDecisions(most time.Duration, over <-chan struct{}) {
+	for {
+		select {
+		case <-over:
+			return
+		case <-time.After(f.draws.span(50 * time.Millisecond)):
+		}
+		f.mu.Lock()
+		time.Sleep(f.draws.span(most))
+		f.mu.Unlock()
+	}
+}
+
+// cacheHost answers each attempt with what is drawn, and tells its address.
+func (f *faultyFleet) cacheHost(t *testing.T, name string, answers []string) string {
+	return f.server(t, func(conn net.Conn, in *bufio.Reader) bool {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		words := strings.Fields(line)
+		id := ""
+		for _, word := range words[1:] {
+			if word[0] == 'O' {
+				id = word[1:]
+			}
+		}
+		if words[0] == "ms" {
+			length, _ := strconv.Atoi(words[2])
+			if _, err = io.CopyN(io.Discard, in, int64(length)+2); err != nil {
+				return false
+			}
+		}
+		what := answers[f.draws.upTo(len(answers))]
+		if strings.HasSuffix(what, "busy") || strings.HasSuffix(what, "miss") {
+			f.ledger.refuses(id, name)
+		}
+		return f.answer(conn, what, map[string]string{
+			"hit": "VA 2 O" + id + "\r\nhi\r\n", "receipt": "HD O" + id + " cdone\r\n", "miss": "EN O" + id + "\r\n",
+			"failed": "SERVER_ERROR failed\r\n", "busy": "SERVER_ERROR busy\r\n"})
+	})
+}
+
+func (f *faultyFleet) originHost(t *testing.T, answers []string) string {
+	return f.server(t, func(conn net.Conn, in *bufio.Reader) bool {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return false
+		}
+		if _, err = io.Copy(io.Discard, request.Body); err != nil {
+			return false
+		}
+		what := answers[f.draws.upTo(len(answers))]
+		if strings.HasSuffix(what, "busy") {
+			f.ledger.refuses(request.Header.Get("X-Request-ID"), "origin")
+		}
+		return f.answer(conn, what, map[string]string{
+			"hit": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "failed": "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+			"busy": "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"})
+	})
+}
+
+// answer does one thing that a server may do; false: the connection ends.
+func (f *faultyFleet) answer(conn net.Conn, what string, texts map[string]string) bool {
+	if rest, slow := strings.CutPrefix(what, "slow "); slow {
+		time.Sleep(f.draws.span(400 * time.Millisecond))
+		what = rest
+	}
+	switch what {
+	case "hang":
+		return true
+	case "close":
+		return false
+	}
+	_, err := io.WriteString(conn, texts[what])
+	return err == nil
+}
+
+func (f *faultyFleet) server(t *testing.T, serve func(net.Conn, *bufio.Reader) bool) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for in := bufio.NewReader(conn); serve(conn, in); {
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// play sends requests over several connections, some of them pipelined, and waits until each has its answer or its time.
+func (f *faultyFleet) play(t *testing.T, name string, connections, batches int) {
+	var clients sync.WaitGroup
+	for i := range connections {
+		clients.Go(func() {
+			for k := range batches {
+				f.batch(t, fmt.Sprintf("%s-%d-%d", name, i, k))
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// batch sends up to forty requests at once over a new connection.
+func (f *faultyFleet) batch(t *testing.T, name string) {
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	wait := []time.Duration{150, 400, 1000, 2500}[f.draws.upTo(4)] * time.Millisecond
+	if f.draws.upTo(5) == 0 {
+		f.slowWrite(conn, name, wait)
+		f.awaitAnswers(t, conn, name, 1, wait)
+		return
+	}
+	size := []int{1, 1, 3, 40}[f.draws.upTo(4)]
+	var text strings.Builder
+	var ids []string
+	for n := range size {
+		id := name + "-" + strconv.Itoa(n)
+		ids = append(ids, id)
+		if f.draws.upTo(3) == 0 {
+			class := []string{"marked", "pay"}[f.draws.upTo(2)]
+			fmt.Fprintf(&text, "ms key-%s 5 O%s Pc=%s,d=%d,k=%s\r\nhello\r\n", id, id, class, wait.Milliseconds(), id)
+		} else {
+			fmt.Fprintf(&text, "mg key-%s v O%s Pc=read,d=%d\r\n", id, id, wait.Milliseconds())
+		}
+	}
+	io.WriteString(conn, text.String())
+	f.ledger.sent(ids, wait)
+	f.awaitAnswers(t, conn, name, len(ids), wait)
+}
+
+// slowWrite sends a long value in pieces; its time begins with the last byte.
+func (f *faultyFleet) slowWrite(conn net.Conn, id string, wait time.Duration) {
+	value := bytes.Repeat([]byte("v"), []int{20 << 10, 60 << 10, 150 << 10}[f.draws.upTo(3)])
+	fmt.Fprintf(conn, "ms key-%s %d O%s Pc=marked,d=%d,k=%s\r\n", id, len(value), id, wait.Milliseconds(), id)
+	for len(value) > 0 {
+		time.Sleep(f.draws.span(100 * time.Millisecond))
+		piece := min(len(value), 16<<10)
+		conn.Write(value[:piece])
+		value = value[piece:]
+	}
+	io.WriteString(conn, "\r\n")
+	f.ledger.sent([]string{id}, wait)
+}
+
+// awaitAnswers fails where a request gets none.
+func (f *faultyFleet) awaitAnswers(t *testing.T, conn net.Conn, name string, requests int, wait time.Duration) {
+	conn.SetReadDeadline(time.Now().Add(wait + patience))
+	in := bufio.NewReader(conn)
+	for range requests {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Errorf("%s: %v in place of an answer", name, err)
+			return
+		}
+		if strings.HasPrefix(line, "VA ") {
+			in.ReadString('\n')
+		}
+	}
+}
+
+// report fails the test for each rule that was broken, with how often and by how much.
+func (f *faultyFleet) report(t *testing.T) {
+	broken, attempts := f.ledger.check()
+	count, most := map[string]int{}, map[string]time.Duration{}
+	for _, v := range broken {
+		kind, _, _ := strings.Cut(v.attempt.server, "-")
+		what := "to a " + kind + " server " + v.rule
+		count[what]++
+		most[what] = max(most[what], v.by)
+	}
+	for _, v := range broken[:min(len(broken), 3)] {
+		t.Logf("%s at %s %s, by %v", v.attempt.id, v.attempt.server, v.rule, v.by)
+	}
+	for what, n := range count {
+		t.Errorf("%d of %d attempts %s, by %v at the most", n, attempts, what, most[what].Round(time.Millisecond))
+	}
+	if attempts == 0 {
+		t.Error("no attempt was made")
+	}
+}
+
+// TestDeadlinesToldToServers draws faults and delays: no attempt tells a server more than its client has left.
+func TestDeadlinesToldToServers(t *testing.T) {
+	answers := []string{"hit", "receipt", "miss", "failed", "busy", "close", "hang", "slow failed", "slow miss", "slow busy"}
+	origin := []string{"hit", "failed", "busy", "close", "slow hit", "slow busy"}
+	kinds := map[string]fleetFaults{
+		"servers":    {answers: answers, origin: origin},
+		"connects":   {answers: answers, origin: origin, refused: 20, lateOpen: 300 * time.Millisecond},
+		"scheduling": {answers: answers, origin: origin, lock: 2 * time.Second},
+		"through":    {answers: answers, refused: 10, lateOpen: 300 * time.Millisecond, lock: 300 * time.Millisecond, through: true},
+		"everything": {answers: answers, origin: origin, refused: 10, lateOpen: 300 * time.Millisecond, writeDelay: 80 * time.Millisecond, lock: 300 * time.Millisecond},
+	}
+	for name, faults := range kinds {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s-%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				f := newFaultyFleet(t, seed, faults)
+				f.play(t, name, 8, 4)
+				f.report(t)
+			})
+		}
+	}
+}
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/internal/memcache"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
@@ -20,10 +21,11 @@
 	upload   *upload // a long value, which comes while the API call lives
 	product  policy.Product
 	customer policy.Customer
-	arrived  time.Time
-	id       policy.CallID // of our own: no two API calls in hand share one, whatever clients send
-	turn     chan struct{} // closed when the commands before it are answered
-	answered chan struct{} // closed when this one is
+	arrived  time.Time         // its last byte, or the head of a long write
+	deadline deadline.Deadline // of the client; of a long write fixed by its reader, once its last byte has arrived
+	id       policy.CallID     // of our own: no two API calls in hand share one, whatever clients send
+	turn     chan struct{}     // closed when the commands before it are answered
+	answered chan struct{}     // closed when this one is
 
 	held     atomic.Int64 // bytes of values
 	attempts []*upstream.Attempt
@@ -44,12 +46,12 @@
 
 // order is what the module wants done for an API call.
 type order struct {
-	do      func(c *call, o order)
-	to      policy.CacheID
-	attempt int
-	time    policy.Nanos
-	// begin is how long an attempt may take to begin: connecting and waiting for a connection take time after the decision.
-	begin policy.Nanos
+	do       func(c *call, o order)
+	to       policy.CacheID
+	attempt  int
+	deadline deadline.Deadline
+	beginBy  deadline.Deadline // connecting and waiting for a connection take time after the decision
+	comeBack time.Duration     // after a rate-limit reply
 }
 
 // wayBack is kept of the client's time for the answer to reach it.
@@ -58,11 +60,11 @@
 // live is the life of one API call, from when it was read to its one final answer and the end of its attempts.
 func (b *Balancer) live(c *call) {
 	defer b.leave(c)
-	left := c.Left - wayBack - time.Since(c.arrived)
+	due := c.deadline.Earlier(wayBack)
 	if c.upload != nil { // its time runs from the last byte on, which is still to come
-		left = c.Left + uploadMost
+		due = deadline.After(c.arrived, c.Left+uploadMost)
 	}
-	if left <= 0 { // it waited behind others for all of its time; nothing ran
+	if due.Passed() { // it waited behind others for all of its time; nothing ran
 		c.rateLimit(order{})
 		return
 	}
@@ -74,7 +76,7 @@
 		c.id = policy.CallID(strconv.FormatUint(b.taken, 36))
 		b.calls[c.id] = c
 		b.module.Arrived(policy.Call{ID: c.id, Customer: c.customer, Product: c.product, Key: policy.Key(c.Key),
-			Write: c.Write, Repeat: c.Repeat, Left: policy.Nanos(left)})
+			Write: c.Write, Repeat: c.Repeat, Deadline: b.nanos(due)})
 	})
 	gone := c.client.gone
 	for {
@@ -163,10 +165,20 @@
 func (b *Balancer) decide(hear func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.now = policy.Nanos(b.epoch.UnixNano()) + policy.Nanos(time.Since(b.epoch))
+	b.now = b.nanos(deadline.After(time.Now(), 0))
 	hear()
 }
 
+// nanos is an instant on the module's clock.
+func (b *Balancer) nanos(d deadline.Deadline) policy.Nanos {
+	return policy.Nanos(b.epoch.UnixNano()) + policy.Nanos(d.Time().Sub(b.epoch))
+}
+
+// instant is a reading of the module's clock as a deadline.
+func (b *Balancer) instant(n policy.Nanos) deadline.Deadline {
+	return deadline.After(b.epoch, time.Duration(n-policy.Nanos(b.epoch.UnixNano())))
+}
+
 // ordersFor empties a call's mailbox.
 func (b *Balancer) ordersFor(c *call) (orders []order, settled bool) {
 	b.mu.Lock()
@@ -207,8 +219,8 @@
 
 func (h host) Now() policy.Nanos { return h.b.now }
 
-func (h host) Send(id policy.CallID, to policy.CacheID, timeout, begin policy.Nanos) {
-	h.note(id, order{do: (*call).send, to: to, time: timeout, begin: begin}, false)
+func (h host) Send(id policy.CallID, to policy.CacheID, due, beginBy policy.Nanos) {
+	h.note(id, order{do: (*call).send, to: to, deadline: h.b.instant(due), beginBy: h.b.instant(beginBy)}, false)
 }
 
 func (h host) Cancel(id policy.CallID, attempt int) {
@@ -216,7 +228,7 @@
 }
 
 func (h host) RateLimit(id policy.CallID, comeBack policy.Nanos) {
-	h.note(id, order{do: (*call).rateLimit, time: comeBack}, true)
+	h.note(id, order{do: (*call).rateLimit, comeBack: time.Duration(comeBack)}, true)
 }
 
 func (h host) Error(id policy.CallID) { h.note(id, order{do: (*call).errored}, true) }
--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -34,7 +33,7 @@
 	mu     sync.Mutex // over the connection's time limit, while another goroutine reads ahead
 }
 
-// piece is what one read brought: a request's time counts from when it came, however long it stands here.
+// piece is what one read brought: a request's time counts from when it had arrived, however long it stands here.
 type piece struct {
 	bytes []byte
 	at    time.Time
@@ -120,7 +119,7 @@
 		}
 		c.net.SetReadDeadline(time.Time{}) // others who woke it meant its reader, which looks for itself when it is back
 		c.ahead.mu.Unlock()
-		if !c.ahead.add(c.net.Read) {
+		if !c.ahead.add(c.receiver.read) {
 			return
 		}
 		if c.ahead.end != nil {
@@ -130,16 +129,16 @@
 }
 
 // add reads once; false where there is no memory for more.
-func (a *ahead) add(read func([]byte) (int, error)) bool {
+func (a *ahead) add(read func([]byte) (int, time.Time, error)) bool {
 	var room [aheadPiece]byte
-	n, err := read(room[:])
+	n, arrived, err := read(room[:])
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		a.end = err
 	}
 	if n == 0 {
 		return true
 	}
-	a.pieces = append(a.pieces, piece{bytes.Clone(room[:n]), time.Now()})
+	a.pieces = append(a.pieces, piece{bytes.Clone(room[:n]), arrived})
 	a.size += n
 	if a.b != nil {
 		if !a.b.hold(n) {
@@ -156,28 +155,10 @@
 	if c.in.Buffered() > 0 || c.ahead.size > 0 || c.ahead.end != nil {
 		return true
 	}
-	conn, ok := c.net.(syscall.Conn)
-	if !ok {
+	if c.receiver.raw == nil {
 		return false
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(fd uintptr) { // not Read, which a time limit that others set would keep from looking
-		c.ahead.add(func(p []byte) (int, error) {
-			n, err := syscall.Read(int(fd), p)
-			switch {
-			case err == syscall.EAGAIN || err == syscall.EINTR:
-				return 0, os.ErrDeadlineExceeded
-			case err != nil:
-				return 0, err
-			case n == 0:
-				return 0, io.EOF
-			}
-			return n, nil
-		})
-	})
+	c.ahead.add(c.receiver.poll)
 	return c.ahead.size > 0 || c.ahead.end != nil
 }
 
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -55,6 +55,7 @@
 
 // Run takes the balancer through its phases and returns when it has stopped.
 func (b *Balancer) Run() error {
+	b.listening = time.Now()
 	listener, from, err := b.listen()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -11,7 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/internal/memcache"
+	"streamrail/internal/stall"
 	"streamrail/internal/upstream"
 	"streamrail/policy"
 )
@@ -21,16 +23,18 @@
 	net       net.Conn
 	in        *bufio.Reader
 	opened    time.Time
-	readAt    atomic.Int64  // nanoseconds after opened, when the last bytes came
-	due       time.Time     // when the command that has begun must be whole
-	within    atomic.Bool   // a command has begun to come
-	used      atomic.Bool   // it has carried a command
-	proven    atomic.Bool   // it has carried an API call, if only one that was turned away
-	reused    atomic.Bool   // it has carried several
-	idleSince atomic.Int64  // Unix nanoseconds, 0 while anything is in hand
-	outOfRoom atomic.Bool   // it makes room for others
-	seated    bool          // it is served; under the mu of clients
-	counted   bool          // among the proven; the same
+	readAt    atomic.Int64 // nanoseconds after opened, when the last bytes had arrived
+	due       time.Time    // when the command that has begun must be whole
+	within    atomic.Bool  // a command has begun to come
+	used      atomic.Bool  // it has carried a command
+	proven    atomic.Bool  // it has carried an API call, if only one that was turned away
+	reused    atomic.Bool  // it has carried several
+	idleSince atomic.Int64 // Unix nanoseconds, 0 while anything is in hand
+	outOfRoom atomic.Bool  // it makes room for others
+	seated    bool         // it is served; under the mu of clients
+	counted   bool         // among the proven; the same
+	receiver  *receiver
+	lastByte  time.Time     // when the last byte that was read had arrived
 	ahead     ahead         // read while the reader waited for something else
 	over      atomic.Bool   // no further command is taken
 	ended     atomic.Bool   // all is answered, and what still comes is passed over
@@ -46,8 +50,9 @@
 	mostBehind  = 32                      // API calls of one connection in hand
 )
 
-func newClient(conn net.Conn) *client {
-	c := &client{net: conn, opened: time.Now(), gone: make(chan struct{}), last: make(chan struct{}), behind: make(chan struct{}, mostBehind)}
+// newClient serves a connection on which nothing had arrived at a moment.
+func newClient(conn net.Conn, stalls *stall.Detector, emptyAt time.Time) *client {
+	c := &client{net: conn, receiver: newReceiver(conn, stalls, emptyAt), opened: time.Now(), gone: make(chan struct{}), last: make(chan struct{}), behind: make(chan struct{}, mostBehind)}
 	close(c.last)
 	c.idleSince.Store(c.opened.UnixNano())
 	c.in = bufio.NewReaderSize(c, memcache.MostLine)
@@ -68,29 +73,39 @@
 	}
 }
 
-// Read notes the time, and goes on with a command that has begun when the connection is woken.
+// Read notes when what it reads had arrived, and goes on with a command that has begun when the connection is woken.
 func (c *client) Read(p []byte) (int, error) {
 	n, at, none, err := c.ahead.take(p)
 	if !none {
 		if n > 0 {
 			c.readAt.Store(int64(at.Sub(c.opened)))
+			c.lastByte = at
 		}
 		return n, err
 	}
-	n, err = c.net.Read(p)
+	n, at, err = c.receiver.read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.within.Load() && !c.outOfRoom.Load() && !c.over.Load() && time.Now().Before(c.due) {
 		c.net.SetReadDeadline(c.due)
-		n, err = c.net.Read(p)
+		n, at, err = c.receiver.read(p)
 	}
 	if n > 0 {
-		c.readAt.Store(int64(time.Since(c.opened)))
+		c.readAt.Store(int64(at.Sub(c.opened)))
+		c.lastByte = c.receiver.lastByte
 	}
 	return n, err
 }
 
-// lastRead is when the last bytes came.
+// lastRead is when the last bytes had arrived, at the earliest: what stood unread for long arrived long ago.
 func (c *client) lastRead() time.Time { return c.opened.Add(time.Duration(c.readAt.Load())) }
 
+// arrival is when the last byte of the command in hand had arrived. Where others stand behind it, it may have come before them.
+func (c *client) arrival() time.Time {
+	if c.in.Buffered() == 0 {
+		return c.lastByte
+	}
+	return c.lastRead()
+}
+
 // until tells when the next command must have begun to come; while an answer is due that moves on.
 func (c *client) until(p Phase) time.Time {
 	at := c.idleSince.Load()
@@ -173,7 +188,7 @@
 		return c.lost(err)
 	}
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
-	call := &call{client: c, b: b, arrived: c.lastRead()}
+	call := &call{client: c, b: b, arrived: c.arrival()}
 	cmd, fault := memcache.Parse(append(call.line[:0], line...))
 	switch {
 	case fault == memcache.Quit:
@@ -215,7 +230,7 @@
 		if !whole {
 			return c.part(memcache.BadChunk.Line())
 		}
-		call.arrived = c.lastRead()
+		call.arrived = c.arrival()
 	}
 	if c.over.Load() && !long { // ended while this was read: nothing is sent on any more
 		c.say(string(memcache.AppendRateLimited(nil, 0)))
@@ -239,6 +254,9 @@
 		return said
 	}
 	started = true
+	if !long { // its deadline follows from its last byte
+		call.deadline = deadline.After(call.arrived, call.Left)
+	}
 	b.figures.inHand.Add(1)
 	call.turn, call.answered = c.last, make(chan struct{})
 	c.last = call.answered
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -21,7 +21,7 @@
 
 func (c *call) rateLimit(o order) {
 	c.b.tally.rateLimited.Add(1)
-	c.answer(rateLimited, memcache.AppendRateLimited(nil, time.Duration(o.time)))
+	c.answer(rateLimited, memcache.AppendRateLimited(nil, o.comeBack))
 }
 
 func (c *call) errored(order) {
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/internal/memcache"
 	"streamrail/internal/upstream"
-	"streamrail/policy"
 )
 
 // pass is the one final answer where a host gives a long value: it goes on as it comes, in its turn. What cannot be
@@ -65,12 +65,15 @@
 // who takes longer is ended, and so is a call that waits for it.
 const uploadMost = 30 * time.Second
 
-var errBadChunk = errors.New("no line end behind the value")
+var (
+	errBadChunk = errors.New("no line end behind the value")
+	errTooLate  = errors.New("the server was slower to take the value than the client was to write it")
+)
 
 func newUpload(c *call) *upload {
 	u := &upload{call: c, left: c.Length, wanted: make(chan struct{}), free: make(chan struct{})}
 	u.Length, u.In, u.Ended = c.Length, u, make(chan struct{})
-	u.Left = func() time.Duration { return c.Left - wayBack }
+	u.Wait = c.Left - wayBack
 	return u
 }
 
@@ -100,7 +103,13 @@
 		return 0, u.end
 	}
 	p[0] = end[0]
-	u.call.b.decide(func() { u.call.b.module.Came(u.call.id, policy.Nanos(u.Left())) })
+	b := u.call.b
+	u.call.deadline = deadline.After(u.call.client.arrival(), u.call.Left)
+	u.Deadline = u.call.deadline.Earlier(wayBack)
+	b.decide(func() { b.module.Came(u.call.id, b.nanos(u.Deadline)) })
+	if u.TooLate() {
+		return 0, errTooLate
+	}
 	return 1, nil
 }
 
--- a/internal/benchwire/decode.go
+++ b/internal/benchwire/decode.go
@@ -90,11 +90,11 @@
 	return e
 }
 
-func (f *fields) call() policy.Call {
+func (f *fields) call(now policy.Nanos) policy.Call {
 	bits := f.number(4)
 	return policy.Call{
 		ID: policy.CallID(f.must(2)), Customer: policy.Customer(f.number(3)), Key: policy.Key(f.text(5)),
-		Repeat: bits&2 != 0, Write: bits&4 != 0, Left: f.nanos(6), Work: f.hint(bits), Product: policy.Product(f.number(9)),
+		Repeat: bits&2 != 0, Write: bits&4 != 0, Deadline: now + f.nanos(6), Work: f.hint(bits), Product: policy.Product(f.number(9)),
 	}
 }
 
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -29,6 +29,7 @@
 	Write, Noop       bool
 	Repeat            bool
 	left              [2]int // where the digits of Left stand in Line
+	attrsAt           int    // where Attrs stand there
 }
 
 // Fault is what is wrong with a command, in the protocol's words.
@@ -172,6 +173,7 @@
 			// v is a part of Line: the difference of the capacities is where it starts.
 			at := cap(c.Line) - cap(v)
 			c.left = [2]int{at, at + len(v)}
+			c.attrsAt = cap(c.Line) - cap(c.Attrs)
 		}
 	}
 	if again {
@@ -199,12 +201,21 @@
 	return n, true
 }
 
-// AppendOnward appends the command's line as it came, but for the time that is left.
+// AppendOnward appends the command's line as it came, but for the time that is left, in whole milliseconds, rounded down.
 func (c *Command) AppendOnward(to []byte, left time.Duration) []byte {
-	to = append(to, c.Line[:c.left[0]]...)
-	to = strconv.AppendInt(to, max(1, left.Milliseconds()), 10)
-	to = append(to, c.Line[c.left[1]:]...)
-	return append(to, crlf...)
+	return append(c.appendPart(to, 0, len(c.Line), left), crlf...)
+}
+
+// AppendAttrs appends the list of names and values as it came, but for the time that is left, like AppendOnward.
+func (c *Command) AppendAttrs(to []byte, left time.Duration) []byte {
+	return c.appendPart(to, c.attrsAt, c.attrsAt+len(c.Attrs), left)
+}
+
+// appendPart appends a part of the line that holds the time that is left, with another time in its place.
+func (c *Command) appendPart(to []byte, from, until int, left time.Duration) []byte {
+	to = append(to, c.Line[from:c.left[0]]...)
+	to = strconv.AppendInt(to, left.Milliseconds(), 10)
+	return append(to, c.Line[c.left[1]:until]...)
 }
 
 // Reply is the kind of a host's answer.
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -205,7 +205,7 @@
 		})
 	}
 	b.mod.Arrived(policy.Call{ID: policy.CallID(c.id), Customer: policy.Customer(c.rec.Tenant), Product: policy.Product(c.rec.Product),
-		Key: policy.Key(c.key), Write: c.write, Left: policy.Nanos(left)})
+		Key: policy.Key(c.key), Write: c.write, Deadline: epoch + policy.Nanos(c.rec.Timeout-wayBack)})
 	b.leave(c)
 }
 
@@ -279,7 +279,7 @@
 	})
 }
 
-func (h host) Send(id policy.CallID, to policy.CacheID, timeout, _ policy.Nanos) {
+func (h host) Send(id policy.CallID, to policy.CacheID, deadline, _ policy.Nanos) {
 	b, d := h.b, h.b.d
 	c := b.calls[id]
 	if c == nil {
@@ -303,7 +303,7 @@
 			d.gateway.offer(s)
 		}
 	})
-	d.after(time.Duration(timeout), func() {
+	d.after(time.Duration(max(1, deadline-h.Now())), func() {
 		late := func() {
 			if !s.over {
 				s.giveUp()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/internal/httpwire"
 	"streamrail/internal/loadreport"
 	"streamrail/internal/memcache"
@@ -87,19 +88,19 @@
 // the connection can be kept.
 func (c *conn) carry(s *Attempt) (r Result, written, keep bool) {
 	// The order may have waited for the connection: what is over, or drained by now, is not written any more.
-	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) || !time.Now().Before(s.Begin) {
+	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) || s.BeginBy.Passed() || s.Deadline.Passed() {
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
-	c.net.SetReadDeadline(s.Until)
-	if len(s.Value) > fits {
-		c.net.SetWriteDeadline(s.Begin) // what is not whole by then is not to be
-		defer c.net.SetWriteDeadline(time.Time{})
+	c.net.SetReadDeadline(s.Deadline.Time())
+	told := s.announced()
+	if told < time.Millisecond {
+		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	if s.Upload != nil && !s.Upload.Take() { // another attempt has had the value
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	began := time.Now()
-	if o := c.write(s); o != policy.Fulfilled {
+	if o := c.write(s, told); o != policy.Fulfilled {
 		return Result{Outcome: o}, false, false
 	}
 	var peer time.Duration
@@ -129,8 +130,13 @@
 	return errors.As(err, &fromNet) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// write tells by Fulfilled that the last byte of an attempt was written, that is, that it may run.
-func (c *conn) write(s *Attempt) policy.Outcome {
+// write tells by Fulfilled that the last byte of an attempt was written, that is, that it may run. The server is
+// told so much time.
+func (c *conn) write(s *Attempt, told time.Duration) policy.Outcome {
+	if len(s.Value) > fits { // what is not whole by then is not to be
+		c.net.SetWriteDeadline(s.BeginBy.First(deadline.After(time.Now(), s.transfer())).Time())
+		defer c.net.SetWriteDeadline(time.Time{})
+	}
 	c.head = c.head[:0]
 	cmd := s.Command
 	parts := net.Buffers{nil}
@@ -142,15 +148,15 @@
 		}
 		path := httpwire.AppendPath(nil, cmd.Key)
 		c.head = httpwire.AppendRequest(c.head, method, string(path), c.addr, length,
-			httpwire.ID, string(cmd.ID), httpwire.Attrs, string(cmd.Attrs))
+			httpwire.ID, string(cmd.ID), httpwire.Attrs, string(cmd.AppendAttrs(nil, told)))
 	} else {
-		c.head = cmd.AppendOnward(c.head, time.Until(s.Until))
+		c.head = cmd.AppendOnward(c.head, told)
 		if cmd.Write {
 			parts = append(parts, s.Value, []byte("\r\n"))
 		}
 	}
 	if s.Upload != nil {
-		return c.upload(s)
+		return c.upload(s, told)
 	}
 	parts[0] = c.head
 	total := int64(0)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/policy"
 )
 
@@ -21,13 +22,19 @@
 
 // Upload is a long value that is still coming. One attempt takes it; it reads In to its end or not at all any more.
 type Upload struct {
-	Length int
-	In     io.Reader            // ends with an error where the value is not whole
-	Left   func() time.Duration // for the answer, once the last byte has come
-	taken  atomic.Bool
-	Ended  chan struct{} // closed once nobody reads In any more; by who has taken it
+	Length   int
+	In       io.Reader         // ends with an error where the value is not whole
+	Wait     time.Duration     // of the client for the answer, from its last byte on
+	Deadline deadline.Deadline // set by In before it gives the last byte
+	Ended    chan struct{}     // closed once nobody reads In any more; by who has taken it
+	told     time.Duration     // to the server
+	taken    atomic.Bool
 }
 
+// TooLate tells that a server to which the last byte was written now would have been told more than the client has left: it has
+// taken the value more slowly than the client wrote it.
+func (u *Upload) TooLate() bool { return u.Deadline.Remaining()+lastByteAllowance < u.told }
+
 // Take makes the caller the one who reads, or who says that nobody will; false where another is.
 func (u *Upload) Take() bool { return !u.taken.Swap(true) }
 
@@ -102,8 +109,9 @@
 }
 
 // upload writes a long value as it comes from the client; the outcome is Fulfilled where its last byte was written.
-func (c *conn) upload(s *Attempt) policy.Outcome {
+func (c *conn) upload(s *Attempt, told time.Duration) policy.Outcome {
 	defer close(s.Upload.Ended)
+	s.Upload.told = told
 	to := Patient{c.net}
 	if _, err := to.Write(c.head); err != nil {
 		return policy.ConnectFailed
@@ -118,6 +126,6 @@
 			return policy.ConnectFailed
 		}
 	}
-	c.net.SetReadDeadline(time.Now().Add(s.Upload.Left()))
+	c.net.SetReadDeadline(s.Upload.Deadline.Time())
 	return policy.Fulfilled
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"streamrail/internal/deadline"
 	"streamrail/internal/discovery"
 	"streamrail/internal/memcache"
 	"streamrail/internal/pool"
@@ -26,15 +27,15 @@
 
 // Attempt is one order to send. It ends once, through Done, which must not block.
 type Attempt struct {
-	To      policy.CacheID
-	Command *memcache.Command
-	Value   []byte  // of a write
-	Upload  *Upload // the same, where it is long and still coming
-	Until   time.Time
-	Begin   time.Time                 // not a byte of it is written from then on
-	Room    func(bytes int) bool      // is asked before a value is held
-	Pass    func(*Value) (whole bool) // takes a long value to its end, or not; it may block
-	Done    func(Result)
+	To       policy.CacheID
+	Command  *memcache.Command
+	Value    []byte                    // of a write
+	Upload   *Upload                   // the same, where it is long and still coming
+	Deadline deadline.Deadline         // of its request: the attempt is not begun, nor waited for, from then on
+	BeginBy  deadline.Deadline         // not a byte of it is written from then on
+	Room     func(bytes int) bool      // is asked before a value is held
+	Pass     func(*Value) (whole bool) // takes a long value to its end, or not; it may block
+	Done     func(Result)
 
 	hosts *Hosts
 	id    pool.Attempt
@@ -243,7 +244,7 @@
 		return
 	}
 	hs.attempts[s.id] = s
-	hs.pool.Ask(hs.now(), pool.Host(s.To), s.id, policy.Nanos(s.Begin.Sub(hs.epoch)))
+	hs.pool.Ask(hs.now(), pool.Host(s.To), s.id, policy.Nanos(s.BeginBy.Time().Sub(hs.epoch)))
 }
 
 // giveUp takes an attempt from those that wait; false where it does not.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	}
 	c := &call{Call: in, terms: &b.terms.Products[in.Product], began: now}
 	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
-	b.host.Wake(max(0, in.Left-2*b.terms.Tick), WakeID("e"+in.ID))
+	b.host.Wake(max(0, in.Deadline-now-2*b.terms.Tick), WakeID("e"+in.ID))
 	b.calls[in.ID] = c
 	b.count(c)
 	c.above = b.beyondAllowance(c)
@@ -170,19 +170,19 @@
 	}
 	c.attempts = append(c.attempts, attempt{at: to, sent: now, out: true, well: to.well})
 	c.out++
-	left := max(1, c.Left-(now-c.began))
-	b.host.Send(c.ID, to.Cache, left, b.begins(c, left))
+	b.host.Send(c.ID, to.Cache, c.Deadline, c.beginBy())
 }
 
-// begins is how long an attempt may take to begin: a repeat is dropped only within the window of what it
-// repeats.
-func (b *Balancer) begins(c *call, left Nanos) Nanos {
+// beginBy is the instant from which on an attempt may not begin: a repeat is dropped only within the window of
+// what it repeats.
+func (c *call) beginBy() Nanos {
+	limit := c.Deadline
 	for _, s := range c.attempts {
 		if s.ran && c.terms.Effect == Deduplicated {
-			left = min(left, s.sent+c.terms.Window-b.host.Now())
+			limit = min(limit, s.sent+c.terms.Window)
 		}
 	}
-	return left
+	return limit
 }
 
 // Ended takes the outcome of an attempt.
@@ -299,11 +299,11 @@
 	}
 }
 
-// Came hears that the last byte of a long write has come: the client's time runs from now.
-func (b *Balancer) Came(id CallID, left Nanos) {
+// Came hears that the last byte of a long write has come, which fixes the client's deadline.
+func (b *Balancer) Came(id CallID, deadline Nanos) {
 	if c := b.calls[id]; c != nil && !c.over {
-		c.Left = b.host.Now() - c.began + left
-		b.host.Wake(max(0, left-2*b.terms.Tick), WakeID("e"+id))
+		c.Deadline = deadline
+		b.host.Wake(max(0, deadline-b.host.Now()-2*b.terms.Tick), WakeID("e"+id))
 	}
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -23,7 +23,9 @@
 // Host is all that a Balancer can do and ask. A call to it takes effect at once.
 type Host interface {
 	Now() Nanos
-	Send(call CallID, to CacheID, timeout, begin Nanos) // begin: it is not sent where it cannot begin within that
+	// Send makes an attempt. Both times are instants on the clock of Now: the attempt is over at its deadline, and
+	// nothing of it is sent from beginBy on.
+	Send(call CallID, to CacheID, deadline, beginBy Nanos)
 	Cancel(call CallID, attempt int)
 	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
 	Error(call CallID)                     // final; promises nothing
@@ -101,7 +103,7 @@
 	Key      Key
 	Write    bool
 	Repeat   bool  // a client's further try, where clients mark them
-	Left     Nanos // until the client gives up this try
+	Deadline Nanos // instant on the clock of Host.Now at which the client gives up this try
 	Work     Nanos // what it likely takes on a standard core; 0: not told
 }
 
