Judge in rehearsals what servers are told of the time that is left

The stand-ins passed over the deadline that an attempt brings, so no rehearsal could show that the origin was told the client's own. They note it now (record.Attempt.Told), on sockets and in virtual time, and the rule "servers told no more time than is left" holds it, at the moment of the last byte, against the client's deadline and 0.15 s (judge.go, deadline).

A wrong balancer that tells 0.4 s too much is named for just that rule; the rule is exercised for each of the others. The plain balancer of these tests itself handed the client's own list on to the gateway, as the program did, and was mended for it.

--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -52,6 +52,7 @@
 	RightAnswer Rule = "the answer made for the call"
 	NothingLate Rule = "nothing sent after the answer"
 	Prompt      Rule = "given up is answered at once"
+	Deadlines   Rule = "servers told no more time than is left"
 	NoRepeat    Rule = "no attempt that could run twice"
 	OneEffect   Rule = "no effect twice"
 	Promise     Rule = "rate-limited only if harmless"
@@ -72,6 +73,7 @@
 	Group string
 }{
 	{OneAnswer, "1 answers"}, {RightAnswer, "1 answers"}, {NothingLate, "1 answers"}, {Prompt, "1 answers"},
+	{Deadlines, "1 answers"},
 	{NoRepeat, "2 effects"}, {OneEffect, "2 effects"}, {Promise, "2 effects"}, {Alone, "2 effects"},
 	{Drains, "3 drains"}, {ColdHosts, "4 cold hosts"}, {GatewayUp, "4 cold hosts"},
 	{MatesKnown, "between balancers"}, {MatesAlive, "between balancers"}, {MatesDead, "between balancers"},
@@ -285,12 +287,27 @@
 		if s.Came > over+slack {
 			c.breach(NothingLate, k.ID, s.Came, s.Came-over-slack, "an attempt came to %s after the call was over", s.Server)
 		}
+		c.deadline(k, s)
 	}
 	if k.Reply == record.RateLimited || k.Reply == record.Errored {
 		c.prompt(k)
 	}
 }
 
+// deadlineSlack is what a server may be told beyond what its client has left, at the most.
+const deadlineSlack = 150 * time.Millisecond
+
+// deadline checks that a server does not work on for longer than the client waits.
+func (c *court) deadline(k *record.Call, s record.Attempt) {
+	if s.Told == 0 {
+		return
+	}
+	c.checked[Deadlines]++
+	if over := s.Came + s.Told - k.Timeout - deadlineSlack; over > 0 {
+		c.breach(Deadlines, k.ID, s.Came, over, "%s was told %v when its client had %v left", s.Server, s.Told, at(k.Timeout-s.Came))
+	}
+}
+
 // stood tells that a call's balancer stood still while it had it: nobody could have answered.
 func (c *court) stood(k *record.Call) bool {
 	return slices.ContainsFunc(c.rec.Stalls, func(s record.Stall) bool {
--- a/internal/rehearsal/judge/judge_test.go
+++ b/internal/rehearsal/judge/judge_test.go
@@ -26,6 +26,11 @@
 // What each rule says of one call and its attempts. The far side of each bound is a breach, the near side is none.
 func TestRules(t *testing.T) {
 	served := func(c, e time.Duration) record.Attempt { return attempt("n", c, e, record.WasServed) }
+	told := func(c, e, told time.Duration) record.Attempt {
+		s := served(c, e)
+		s.Told = told
+		return s
+	}
 	for name, row := range map[string]struct {
 		call     record.Call
 		attempts []record.Attempt
@@ -57,6 +62,8 @@
 			told: []record.Told{{Node: "n", At: 1000 * ms}, {Node: "n", At: 1500 * ms}}, want: Drains},
 		"back again": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 500 * ms}, {Node: "n", Up: true, At: 1500 * ms}}},
+		"told what is left":     {call: call(0, 0, 900*ms, 390*ms, record.Fulfilled), attempts: []record.Attempt{told(360*ms, 380*ms, 690*ms)}},
+		"told the client's own": {call: call(0, 0, 900*ms, 390*ms, record.Fulfilled), attempts: []record.Attempt{told(360*ms, 380*ms, 691*ms)}, want: Deadlines},
 		"within the grace": {call: call(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2040*ms, 2100*ms)},
 			told: []record.Told{{Node: "n", At: 1000 * ms}}},
 	} {
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -65,6 +65,7 @@
 	Server     string        // a node or Gateway
 	Began      time.Duration // its first byte was read
 	Came       time.Duration // its last byte was read
+	Told       time.Duration // that its balancer will wait, as it says; 0: nothing
 	Ended      time.Duration // its answer was written, or its connection ended; 0: still out at the end of the day
 	Proof      Proof
 	Answered   bool // an answer was written whole
--- a/internal/rehearsal/runner/runner_test.go
+++ b/internal/rehearsal/runner/runner_test.go
@@ -180,6 +180,7 @@
 		"drain":   {judge.Drains},
 		"flood":   {judge.ColdHosts},
 		"other":   {judge.RightAnswer},
+		"tell":    {judge.Deadlines},
 	} {
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
--- a/internal/rehearsal/runner/wrong_test.go
+++ b/internal/rehearsal/runner/wrong_test.go
@@ -260,6 +260,15 @@
 	return failed
 }
 
+// left is what a server is told.
+func (b *wrong) left(until time.Time) time.Duration {
+	left := max(time.Millisecond, time.Until(until))
+	if b.what == "tell" {
+		left += 400 * time.Millisecond
+	}
+	return left
+}
+
 func (b *wrong) read(cmd *memcache.Command, until time.Time) (value []byte, outcome string) {
 	c, err := net.DialTimeout("tcp", b.host(string(cmd.Key), false), time.Until(until))
 	if err != nil {
@@ -267,7 +276,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(until)
-	c.Write(cmd.AppendOnward(nil, time.Until(until)))
+	c.Write(cmd.AppendOnward(nil, b.left(until)))
 	in := bufio.NewReader(c)
 	line, err := in.ReadBytes('\n')
 	if err != nil {
@@ -302,7 +311,7 @@
 	}
 	r.ContentLength, r.Close = int64(len(value)), true
 	r.Header.Set("X-Request-ID", string(cmd.ID))
-	r.Header.Set("X-Attrs", string(cmd.Attrs))
+	r.Header.Set("X-Attrs", string(cmd.AppendAttrs(nil, b.left(until))))
 	resp, err := b.client.Do(r)
 	if err != nil {
 		return nil, "may"
--- a/internal/rehearsal/standin/gateway.go
+++ b/internal/rehearsal/standin/gateway.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -182,6 +183,10 @@
 		if v, ok := strings.CutPrefix(pair, "k="); ok && s.Write {
 			mark = v
 		}
+		if v, ok := strings.CutPrefix(pair, "d="); ok {
+			ms, _ := strconv.Atoi(v)
+			s.Told = time.Duration(ms) * time.Millisecond
+		}
 	}
 	reset, fail := g.troubled()
 	note := func() { g.w.Rec.Add(func() { g.w.Rec.Attempts = append(g.w.Rec.Attempts, s) }) }
--- a/internal/rehearsal/standin/serve.go
+++ b/internal/rehearsal/standin/serve.go
@@ -23,6 +23,7 @@
 	write         bool
 	work          time.Duration
 	began, came   time.Duration
+	told          time.Duration
 	unexpected    string
 	ran, cold     bool // under Node.mu
 	swallowed     bool
@@ -136,7 +137,7 @@
 	if cmd.Noop {
 		return s, nil
 	}
-	s.id, s.key, s.mark, s.write = string(cmd.ID), string(cmd.Key), string(cmd.Mark), cmd.Write
+	s.id, s.key, s.mark, s.write, s.told = string(cmd.ID), string(cmd.Key), string(cmd.Mark), cmd.Write, cmd.Left
 	if cmd.Write {
 		if _, err = in.Discard(cmd.Length + 2); err != nil {
 			return nil, err
@@ -243,7 +244,7 @@
 
 func (n *Node) noteAt(l *link, s *attempt, a answer, whole bool, ended time.Duration) {
 	n.mu.Lock()
-	r := record.Attempt{Call: s.id, Balancer: l.balancer, Server: n.ID, Began: s.began, Came: s.came, Ended: ended, Answered: whole,
+	r := record.Attempt{Call: s.id, Balancer: l.balancer, Server: n.ID, Began: s.began, Came: s.came, Told: s.told, Ended: ended, Answered: whole,
 		Ran: s.ran, Cold: s.cold, Work: s.work, Write: s.write, Unexpected: s.unexpected, Swallowed: s.swallowed}
 	n.mu.Unlock()
 	switch {
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -70,6 +70,7 @@
 	to    *node // nil: the gateway
 	work  time.Duration
 	sent  time.Duration
+	told  time.Duration // that is left
 	came  time.Duration
 	ended time.Duration // at the server, or when it heard that it was given up
 	proof record.Proof
@@ -285,7 +286,7 @@
 	if c == nil {
 		return
 	}
-	s := &attempt{b: b, lives: h.lives, call: c, n: len(c.attempts), sent: d.now, work: d.work(c)}
+	s := &attempt{b: b, lives: h.lives, call: c, n: len(c.attempts), sent: d.now, told: time.Duration(deadline - h.Now()), work: d.work(c)}
 	c.attempts = append(c.attempts, s)
 	c.out++
 	if to != record.Gateway {
--- a/internal/rehearsal/virtual/day.go
+++ b/internal/rehearsal/virtual/day.go
@@ -269,7 +269,7 @@
 		if s.came == 0 {
 			continue // given up on the way: no server saw it
 		}
-		r := record.Attempt{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.sent, Ended: s.ended, Proof: s.proof,
+		r := record.Attempt{Call: s.call.id, Balancer: s.b.index, Server: s.server(), Began: s.sent, Came: s.sent, Told: max(0, s.told), Ended: s.ended, Proof: s.proof,
 			Answered: s.whole, Ran: s.ran, Cold: s.cold, Work: s.work, Write: s.call.write, Swallowed: s.swallowed}
 		d.rec.Attempts = append(d.rec.Attempts, r)
 	}
