--- a/internal/balancer/deadline_test.go
+++ b/internal/balancer/deadline_test.go
@@ -516,3 +516,80 @@
 		}
 	}
 }
+
+// TestRequestsReadLate has requests stand unread: in the accept queue, behind a reader that has no memory for more, and behind one
+// that waits for the decisions. Each counts from when it arrived.
+func TestRequestsReadLate(t *testing.T) {
+	answers := fleetFaults{answers: []string{"hit"}, through: true}
+	const delay, wait = 500 * time.Millisecond, 1500 * time.Millisecond
+	one := func(f *faultyFleet, t *testing.T, id string) net.Conn {
+		conn, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		fmt.Fprintf(conn, "mg k v O%s Pc=read,d=%d\r\n", id, wait.Milliseconds())
+		f.ledger.sent([]string{id}, wait)
+		return conn
+	}
+	t.Run("accept queue", func(t *testing.T) {
+		t.Parallel()
+		f := newFaultyFleet(t, 1, answers)
+		f.clients.limit(0, 0)
+		time.Sleep(50 * time.Millisecond)
+		first := one(f, t, "before") // accepted by the call that was under way
+		time.Sleep(50 * time.Millisecond)
+		queued := one(f, t, "queued")
+		time.Sleep(delay)
+		f.clients.limit(100, 100)
+		f.awaitAnswers(t, first, "before", 1, wait)
+		f.awaitAnswers(t, queued, "queued", 1, wait)
+		f.report(t)
+	})
+	t.Run("decisions", func(t *testing.T) {
+		t.Parallel()
+		f := newFaultyFleet(t, 2, answers)
+		conn, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		f.mu.Lock()
+		for i, id := range []string{"first", "second"} {
+			fmt.Fprintf(conn, "mg k v O%s Pc=read,d=%d\r\n", id, wait.Milliseconds())
+			f.ledger.sent([]string{id}, wait)
+			time.Sleep(time.Duration(1-i) * 20 * time.Millisecond)
+		}
+		time.Sleep(delay)
+		f.mu.Unlock()
+		f.awaitAnswers(t, conn, "both", 2, wait)
+		f.report(t)
+	})
+	t.Run("no memory to read ahead", func(t *testing.T) {
+		t.Parallel()
+		f := newFaultyFleet(t, 3, fleetFaults{answers: []string{"hang"}, through: true})
+		f.mostHeld.Store(0)
+		conn, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		sent := 0
+		send := func(requests int, wait time.Duration) {
+			var text strings.Builder
+			var ids []string
+			for range requests {
+				ids = append(ids, "n"+strconv.Itoa(sent))
+				fmt.Fprintf(&text, "mg k%d v O%s Pc=read,d=%d\r\n", sent, ids[len(ids)-1], wait.Milliseconds())
+				sent++
+			}
+			io.WriteString(conn, text.String())
+			f.ledger.sent(ids, wait)
+		}
+		send(mostBehind, delay)
+		time.Sleep(50 * time.Millisecond)
+		send(200, wait)
+		f.awaitAnswers(t, conn, "all", sent, wait)
+		f.report(t)
+	})
+}
