End a connection by a reset where an attempt may still be on its way to its server

Root cause: an attempt that was given up or had timed out had its connection closed in order, so that the system went on sending what it still held of it. A server that takes nothing for a while, or cannot be reached, began it afterwards, however long that was: with a deadline that had passed and beyond the window in which repeats are dropped. Now such a connection is reset, and the system drops what it holds (upstream/conn.go, abort). Connections that end at rest are closed in order as before.

Ruled out: SO_LINGER from the start on, which would reset resting connections too.

TestGivenUp asked for an end in order; a reset is asked for in its place.

--- a/internal/upstream/announce_test.go
+++ b/internal/upstream/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -82,7 +83,7 @@
 }
 
 // narrowHost is a host whose connections hold little and that reads when the test does.
-func narrowHost(t *testing.T) (hs *Hosts, conns chan net.Conn) {
+func narrowHost(t *testing.T, dialer net.Dialer) (hs *Hosts, conns chan net.Conn) {
 	hs, entry, _ := stand(t, wide)
 	listener, err := (&net.ListenConfig{Control: narrow}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -96,14 +97,14 @@
 		}
 	}()
 	entry.Addr = listener.Addr().String()
-	hs.Dial = (&net.Dialer{Control: narrow}).DialContext
+	hs.Dial = dialer.DialContext
 	hs.Listed(discovery.List{Hosts: []discovery.Host{entry}})
 	return hs, conns
 }
 
 // TestLongWriteThatIsNotTaken ends a write that its host does not take while what it was told still holds: it never ran.
 func TestLongWriteThatIsNotTaken(t *testing.T) {
-	hs, conns := narrowHost(t)
+	hs, conns := narrowHost(t, net.Dialer{Control: narrow})
 	value := strings.Repeat("v", 60<<10)
 	s, ended := attempt(t, "ms k "+strconv.Itoa(len(value))+" O1 Pc=pay,d=4000,k=7", value, 4*time.Second)
 	began := time.Now()
@@ -120,3 +121,40 @@
 		t.Errorf("the host had %d bytes of %d", got.Len(), len(value))
 	}
 }
+
+// roomy makes the system hold all that these tests send.
+func roomy(network, address string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 1<<20) })
+}
+
+// TestGivenUpOnTheWay gives an attempt up that the system holds, as its host takes nothing: the host must not have it whole when it
+// reads on.
+func TestGivenUpOnTheWay(t *testing.T) {
+	for name, over := range map[string]func(s *Attempt){
+		"given up":  (*Attempt).GiveUp,
+		"timed out": func(*Attempt) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hs, conns := narrowHost(t, net.Dialer{Control: roomy})
+			value := strings.Repeat("v", 60<<10)
+			s, ended := attempt(t, "ms k "+strconv.Itoa(len(value))+" O1 Pc=pay,d=500,k=7", value, 500*time.Millisecond)
+			hs.Send(s)
+			for began := time.Now(); hs.Sent() == 0; time.Sleep(time.Millisecond) {
+				if time.Since(began) > 10*time.Second {
+					t.Fatal("the attempt is never written")
+				}
+			}
+			over(s)
+			<-ended
+			host := <-conns
+			host.SetDeadline(time.Now().Add(10 * time.Second))
+			var got bytes.Buffer
+			if _, err := got.ReadFrom(host); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the connection ends with %v", err)
+			}
+			if got.Len() >= len(value) {
+				t.Errorf("the host had %d bytes of %d", got.Len(), len(value))
+			}
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,9 +29,10 @@
 	head   []byte // written last, used again
 
 	// Under hosts.mu.
-	next    *Attempt // that it is to carry
-	resting bool     // its goroutine waits in a read
-	closing bool     // the pool has dropped it
+	next       *Attempt // that it is to carry
+	resting    bool     // its goroutine waits in a read
+	closing    bool     // the pool has dropped it
+	unfinished bool     // its last attempt has ended without the answer that it waits for
 }
 
 // run dials and carries attempts until the connection ends.
@@ -49,7 +50,7 @@
 			hs.pool.Opened(hs.now(), c.id)
 		}
 		c.serve()
-		net.Close()
+		c.end()
 	}
 	delete(hs.conns, c.id)
 	c.host.open--
@@ -75,6 +76,7 @@
 		if first && (r.Outcome == policy.TurnedAway || r.Outcome == policy.Reset) {
 			hs.pool.Rejected(hs.now(), c.id)
 		}
+		c.unfinished = !keep
 		if !keep || c.in.Buffered() > 0 { // what came unasked belongs to no attempt
 			hs.pool.Closed(hs.now(), c.id)
 			c.closing = true
@@ -88,7 +90,7 @@
 // the connection can be kept.
 func (c *conn) carry(s *Attempt) (r Result, written, keep bool) {
 	// The order may have waited for the connection: what is over, or drained by now, is not written any more.
-	if !s.carry(func() { c.net.Close() }) || c.hosts.tooLate(c.host) || s.BeginBy.Passed() || s.Deadline.Passed() {
+	if !s.carry(c.abort) || c.hosts.tooLate(c.host) || s.BeginBy.Passed() || s.Deadline.Passed() {
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	c.net.SetReadDeadline(s.Deadline.Time())
@@ -130,6 +132,25 @@
 	return errors.As(err, &fromNet) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
+// end closes the connection, by a reset where an attempt may still be on its way.
+func (c *conn) end() {
+	if c.unfinished {
+		c.abort()
+		return
+	}
+	c.net.Close()
+}
+
+// abort ends the connection by a reset. What the system still holds of an attempt would else go on to a server that cannot be
+// reached now, and begin there long after the attempt was given up: with a deadline that has passed, and beyond the window in
+// which it would be known for a repeat.
+func (c *conn) abort() {
+	if socket, ok := c.net.(*net.TCPConn); ok {
+		socket.SetLinger(0)
+	}
+	c.net.Close()
+}
+
 // write tells by Fulfilled that the last byte of an attempt was written, that is, that it may run. The server is
 // told so much time.
 func (c *conn) write(s *Attempt, told time.Duration) policy.Outcome {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -176,8 +178,8 @@
 	}
 	s.GiveUp()
 	ends(t, ended, policy.Cancelled)
-	if _, err := c.Read(buf); err != io.EOF {
-		t.Errorf("the connection goes on: %v", err)
+	if _, err := c.Read(buf); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection is not reset: %v", err)
 	}
 }
 
