--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -70,7 +70,7 @@
 
 // New makes a balancer in the phase starting, of what the platform tells it and what the operator sets.
 func New(told *deployment.Deployment, own *operator.File, log zerolog.Logger) *Balancer {
-	grace := told.DrainGrace * 9 / 10 // the rest is for goroutines and a clock that are late
+	grace := usableGrace(told.DrainGrace)
 	room := told.Sockets - ownSockets
 	if told.Admin != "" {
 		room -= admin.Descriptors + handover.Descriptors
@@ -107,6 +107,15 @@
 	return b
 }
 
+// heldUp is for how long the process may be held up between a look at the clock and the write that follows, and some more for
+// goroutines that are late.
+const heldUp = 200 * time.Millisecond
+
+// usableGrace is the part of a drain's grace after which no write may begin: whatever holds it up then, it comes within the whole.
+func usableGrace(grace time.Duration) time.Duration {
+	return grace - min(max(heldUp, grace/10), grace/2)
+}
+
 // beat tells the stall detector that the process runs.
 func (b *Balancer) beat() {
 	t := time.NewTicker(stall.Period)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -223,6 +223,9 @@
 	}
 }
 
+// Grace is after how long nothing is written to a host that was told off.
+func (hs *Hosts) Grace() time.Duration { return hs.limits.Grace }
+
 // Sent is the number of attempts written whole, to the origin too: the list names it like the cache hosts.
 func (hs *Hosts) Sent() int64 { return hs.sent.Load() }
 
