End repeats and promises 0.15 s before the window in which hosts drop repeats

Root cause: a repeat of work that may have run could be decided on, and begun, up to the last nanosecond of its window (policy, harmless and beginBy). A process that is held up for 0.15 s between that look at the clock and the write begins it after the window, and the effect comes twice. A rate-limit reply in that time promises that the client's retry is harmless, which comes later still. Both end 0.15 s before the window now, a quarter of a short one.

Tried and not taken: the shorter window for repeats alone. TestWindowOverBeforeTheConnect then got "busy" 0.11 s before the end of the window, a promise that no client can use; it asks for an error as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -179,12 +179,19 @@
 	limit := c.Deadline
 	for _, s := range c.attempts {
 		if s.ran && c.terms.Effect == Deduplicated {
-			limit = min(limit, s.sent+c.terms.Window)
+			limit = min(limit, s.sent+c.terms.repeatWithin())
 		}
 	}
 	return limit
 }
 
+// heldUp is for how long a balancer may be held up between its look at the clock and what it writes then.
+const heldUp = 150 * Millisecond
+
+// repeatWithin is the part of the window in which a repeat may be decided on and begun: what holds it up then still
+// ends within the window.
+func (t *ProductTerms) repeatWithin() Nanos { return t.Window - min(heldUp, t.Window/4) }
+
 // Ended takes the outcome of an attempt.
 func (b *Balancer) Ended(e Ending) {
 	now := b.host.Now()
@@ -353,7 +360,7 @@
 func (b *Balancer) harmless(c *call, remembered func(attempt) bool) bool {
 	return c.terms.Effect == Idempotent || !slices.ContainsFunc(c.attempts, func(s attempt) bool {
 		return (s.out || s.ran) && (c.terms.Effect == NonIdempotent ||
-			b.host.Now()-s.sent >= c.terms.Window || !remembered(s))
+			b.host.Now()-s.sent >= c.terms.repeatWithin() || !remembered(s))
 	})
 }
 
