Keep the wall clock out of idle times, time limits and the age of hosts

When a host was put back by hand goes to a newer process as a span (policy/state.go, Learnt.BackAgo); the older field stays for older processes. - Idle connections of clients were timed by Unix nanoseconds, and the result was set as a time limit without a monotonic reading: a step forth closed all of them, one back kept them open for an hour (read.go, until; accept.go, at). They count from the connection's opening now. - The pool converted starts by its own reading of the wall clock; it is handed the decisions' one.

Not found at fault: timers, deadlines, windows, waits of discovery (monotonic). What a restart of this process after a step cannot know: how old a host is of which it had not heard before.

--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -113,12 +113,12 @@
 
 // first is the connection that makes room first of those that may.
 func (cs *clients) first(may func(*client, stage) bool) (leaves *client) {
-	now := time.Now().UnixNano()
-	least, since := inHand, int64(0)
+	now := time.Now()
+	least, since := inHand, time.Time{}
 	for o := range cs.all {
 		at, from, after := o.at()
-		if at < inHand && !o.outOfRoom.Load() && now-from >= int64(after) && may(o, at) &&
-			(at < least || at == least && from < since) {
+		if at < inHand && !o.outOfRoom.Load() && now.Sub(from) >= after && may(o, at) &&
+			(at < least || at == least && from.Before(since)) {
 			leaves, least, since = o, at, from
 		}
 	}
@@ -163,16 +163,17 @@
 )
 
 // at tells the stage, since when, and how long that is to be left alone.
-func (c *client) at() (at stage, since int64, least time.Duration) {
+func (c *client) at() (at stage, since time.Time, least time.Duration) {
 	switch {
 	case len(c.behind) > 0:
-		return inHand, 0, 0
+		return inHand, since, 0
 	case c.within.Load():
-		return within, c.lastRead().UnixNano(), stalledLeast
+		return within, c.lastRead(), stalledLeast
 	}
-	switch since = c.idleSince.Load(); {
-	case since == 0: // it changes over just now
-		return inHand, 0, 0
+	since, idles := c.idleFrom()
+	switch {
+	case !idles: // it changes over just now
+		return inHand, since, 0
 	case !c.proven.Load(): // nothing, or no API call
 		return silent, since, silentLeast
 	}
--- a/internal/balancer/accept_test.go
+++ b/internal/balancer/accept_test.go
@@ -19,7 +19,7 @@
 		t.Cleanup(func() { l.Close(); r.Close() })
 		c := newClient(l, stall.New(now), now)
 		c.opened = now.Add(-age)
-		c.idleSince.Store(now.Add(-age).UnixNano())
+		c.noteIdle(now.Add(-age))
 		set(c)
 		cs.enter(c)
 		return c
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -25,12 +25,14 @@
 
 // Balancer is one running balancer.
 type Balancer struct {
-	told      *deployment.Deployment
-	log       zerolog.Logger
-	hosts     *upstream.Hosts
-	epoch     time.Time // the module's clock is Unix time that goes on from here
-	stalls    *stall.Detector
-	listening time.Time // no client's connection came before that
+	told       *deployment.Deployment
+	log        zerolog.Logger
+	hosts      *upstream.Hosts
+	epoch      time.Time    // the decisions' clock goes on from here
+	epochNanos policy.Nanos // what it shows then
+	stalls     *stall.Detector
+	starts     *starts
+	listening  time.Time // no client's connection came before that
 
 	phase     atomic.Int32
 	changed   chan struct{} // a phase was ordered
@@ -79,14 +81,17 @@
 		room--
 	}
 	up := room * upstreamPart / 8
-	b := &Balancer{told: told, log: log, epoch: time.Now(), changed: make(chan struct{}, 4), rested: make(chan *call),
+	epoch := time.Now()
+	epochNanos := policy.Nanos(epoch.UnixNano())
+	b := &Balancer{told: told, log: log, epoch: epoch, epochNanos: epochNanos, changed: make(chan struct{}, 4), rested: make(chan *call),
 		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
 		tally:   tally{hosts: map[policy.CacheID]*[2]int64{}},
 		figures: newFigures(told),
 		clients: newClients(told.Sockets / 4),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
 			Most: up, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout, Reports: told.Reports,
-			Grace: grace}, told.Terms.OriginKind)}
+			Grace: grace, Epoch: epochNanos}, told.Terms.OriginKind)}
+	b.starts = newStarts(time.Now)
 	b.pace = discovery.PaceOf(grace, !told.Terms.MustSubscribe)
 	b.fleet.own = own.Fleet
 	b.whole = holds{clients: int64(room - up), upstream: int64(up), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -171,12 +171,12 @@
 
 // nanos is an instant on the module's clock.
 func (b *Balancer) nanos(d deadline.Deadline) policy.Nanos {
-	return policy.Nanos(b.epoch.UnixNano()) + policy.Nanos(d.Time().Sub(b.epoch))
+	return b.epochNanos + policy.Nanos(d.Time().Sub(b.epoch))
 }
 
 // instant is a reading of the module's clock as a deadline.
 func (b *Balancer) instant(n policy.Nanos) deadline.Deadline {
-	return deadline.After(b.epoch, time.Duration(n-policy.Nanos(b.epoch.UnixNano())))
+	return deadline.After(b.epoch, time.Duration(n-b.epochNanos))
 }
 
 // ordersFor empties a call's mailbox.
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -54,6 +54,10 @@
 	if len(l.Hosts) > 0 || kind != policy.ListRestored {
 		b.knows.Store(true)
 	}
+	b.decide(func() { b.starts.place(l, b.now, kind != policy.ListUpdate) })
+	for i := range entries {
+		entries[i].Started = l.Hosts[i].Started
+	}
 	b.hosts.Listed(l) // first, so that a host which the module knows can be sent to
 	b.decide(func() { b.module.Listed(kind, entries) })
 }
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -29,7 +29,7 @@
 	used      atomic.Bool  // it has carried a command
 	proven    atomic.Bool  // it has carried an API call, if only one that was turned away
 	reused    atomic.Bool  // it has carried several
-	idleSince atomic.Int64 // Unix nanoseconds, 0 while anything is in hand
+	idleSince atomic.Int64 // nanoseconds after opened, and one; 0 while anything is in hand
 	outOfRoom atomic.Bool  // it makes room for others
 	seated    bool         // it is served; under the mu of clients
 	counted   bool         // among the proven; the same
@@ -54,7 +54,7 @@
 func newClient(conn net.Conn, stalls *stall.Detector, emptyAt time.Time) *client {
 	c := &client{net: conn, receiver: newReceiver(conn, stalls, emptyAt), opened: time.Now(), gone: make(chan struct{}), last: make(chan struct{}), behind: make(chan struct{}, mostBehind)}
 	close(c.last)
-	c.idleSince.Store(c.opened.UnixNano())
+	c.noteIdle(c.opened)
 	c.in = bufio.NewReaderSize(c, memcache.MostLine)
 	return c
 }
@@ -62,10 +62,19 @@
 // rests notes since when the connection stands idle, if it does.
 func (c *client) rests() {
 	if !c.within.Load() && len(c.behind) == 0 {
-		c.idleSince.Store(time.Now().UnixNano())
+		c.noteIdle(time.Now())
 	}
 }
 
+// noteIdle notes that the connection stands idle from a moment on.
+func (c *client) noteIdle(at time.Time) { c.idleSince.Store(int64(at.Sub(c.opened)) + 1) }
+
+// idleFrom tells since when the connection stands idle; false while anything is in hand.
+func (c *client) idleFrom() (at time.Time, idle bool) {
+	since := c.idleSince.Load()
+	return c.opened.Add(time.Duration(since - 1)), since != 0
+}
+
 // wake ends the wait for the next command. A command that has begun to come is still read.
 func (c *client) wake() {
 	if !c.ended.Load() { // else its end would be cut short
@@ -108,16 +117,16 @@
 
 // until tells when the next command must have begun to come; while an answer is due that moves on.
 func (c *client) until(p Phase) time.Time {
-	at := c.idleSince.Load()
+	at, idle := c.idleFrom()
 	switch {
 	case p >= Draining:
 		return time.Now().Add(fresh)
 	case !c.used.Load():
 		return c.opened.Add(firstWait)
-	case at == 0:
+	case !idle:
 		return time.Now().Add(idleMost)
 	}
-	return time.Unix(0, at).Add(idleMost)
+	return at.Add(idleMost)
 }
 
 // awaits sets how long the next command may take to come.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -89,6 +90,7 @@
 	Reports bool          // answers tell the host's load
 	Connect time.Duration // for a connection to come up
 	Grace   time.Duration // after which nothing new is written to a host that drains or is gone
+	Epoch   policy.Nanos  // the time now on the clock of which hosts' starts are told
 }
 
 // Hosts are all hosts that discovery told of.
@@ -195,7 +197,7 @@
 	}
 	born := policy.Nanos(0) // as the list has it: another start is another process
 	if h.Born > 0 {
-		born = max(1, policy.Nanos(time.Unix(0, int64(h.Born)).Sub(hs.epoch)))
+		born = max(1, cmp.Or(h.Started, h.Born)-hs.limits.Epoch)
 	}
 	hs.pool.Up(now, pool.Host(h.Cache), born, moved, most)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -525,7 +525,7 @@
 
 // warmth is the share of its capacity that a host has at the least, by the time since its start.
 func (b *Balancer) warmth(h *cache) float64 {
-	born := max(h.Born, h.back)
+	born := max(cmp.Or(h.Started, h.Born), h.back)
 	age := b.host.Now() - born
 	if born == 0 || age >= b.terms.RampTime {
 		return 1
--- a/policy/state.go
+++ b/policy/state.go
@@ -234,7 +234,8 @@
 	Born      Nanos
 	Limit     float64
 	Good, Bad float64
-	Back      Nanos
+	Back      Nanos // on the older one's clock
+	BackAgo   Nanos // goes before it: clocks of two processes may differ
 }
 
 // Tell gives what there is to take over.
@@ -248,7 +249,11 @@
 			continue
 		}
 		good, bad := h.health.faded(b.host.Now())
-		l.Caches = append(l.Caches, LearntOf{h.Cache, h.Born, h.limit, good, bad, h.back})
+		told := LearntOf{Cache: h.Cache, Born: h.Born, Limit: h.limit, Good: good, Bad: bad, Back: h.back}
+		if h.back > 0 {
+			told.BackAgo = max(1, b.host.Now()-h.back)
+		}
+		l.Caches = append(l.Caches, told)
 	}
 	slices.SortFunc(l.Caches, func(x, y LearntOf) int { return cmp.Compare(x.Cache, y.Cache) })
 	return l
@@ -275,6 +280,9 @@
 			continue
 		}
 		h.limit, h.back = sane(x.Limit, h.limit), min(x.Back, now)
+		if x.BackAgo > 0 {
+			h.back = now - x.BackAgo
+		}
 		if x.Good >= 0 && x.Bad >= 0 {
 			for _, m := range []*meter{&h.health, b.zones[h.Zone], &b.all} {
 				m.add(now, x.Good, x.Bad)
--- a/policy/types.go
+++ b/policy/types.go
@@ -92,7 +92,8 @@
 	Cell      Cell
 	Condition Condition
 	Size      float64
-	Born      Nanos // clock time of its last start, 0: long ago
+	Born      Nanos // its last start as the list tells it, 0: long ago; another one is another process
+	Started   Nanos // the same on the clock of Host.Now; 0: the list has that clock
 }
 
 // Call is an API call as it reaches the balancer.
