Tell what this machine lacks from what a host does when a connect or a write fails

Root cause: every failed connect counted as the host's (upstream/conn.go, run: pool.Failed): without ports, descriptors, memory or a route each host in turn was rested for one to eight seconds and told to other balancers as bad, and nothing slowed the attempts down. EADDRNOTAVAIL, EADDRINUSE, EAGAIN, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM, EACCES, ENETDOWN and ENETUNREACH now end an attempt as never sent, which says nothing of the host, and nothing is opened for 10 ms, doubled up to 0.5 s and spread, until one comes up (pool/local.go). ECONNREFUSED, ECONNRESET, EHOSTUNREACH, EHOSTDOWN and ETIMEDOUT stay the host's.

EINTR and short writes are gone on with by the runtime.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,10 +33,11 @@
 	Surplus              // more than the last while needed
 	Room                 // another host's attempt needs its place
 	Shut                 // the pool is closed
+	Local                // this machine cannot open connections just now
 )
 
 func (w Why) String() string {
-	return [...]string{"unknown", "leaving", "full", "budget", "late", "no_connect", "idle", "age", "surplus", "room", "shut"}[w]
+	return [...]string{"unknown", "leaving", "full", "budget", "late", "no_connect", "idle", "age", "surplus", "room", "shut", "local"}[w]
 }
 
 // Orders is all that a Pool can do. A call to it takes effect at once and must not call back.
@@ -84,6 +85,7 @@
 	shut    bool
 	bound   map[Host]int // how often a bound held since it was last asked
 	part    float64      // of all openings, as told; 0: an equal one
+	backoff backoff
 }
 
 type host struct {
@@ -306,6 +308,7 @@
 	h := c.host
 	h.opening--
 	c.born, c.since, c.phase = now, now, inUse
+	p.backoff = backoff{}
 	if w := c.from; w != nil {
 		w.from, c.from = nil, nil
 		// The first that waits gets it; if that is another one, what is opened for that one is now for this.
@@ -395,7 +398,9 @@
 }
 
 // Failed hears that a connection did not come up. The attempt that it was opened for is refused: its host may be dead.
-func (p *Pool) Failed(now policy.Nanos, id Conn) {
+func (p *Pool) Failed(now policy.Nanos, id Conn) { p.failed(now, id, NoConnect) }
+
+func (p *Pool) failed(now policy.Nanos, id Conn, why Why) {
 	c := p.conns[id]
 	if c == nil {
 		return
@@ -405,7 +410,7 @@
 	p.drop(c)
 	if w != nil {
 		w.from = nil
-		p.refuse(w, NoConnect)
+		p.refuse(w, why)
 	}
 	p.relieve(now, c.host)
 	p.forget(c.host)
@@ -564,6 +569,8 @@
 		h.most, h.mostAt = h.most+1, now
 	}
 	switch {
+	case now < p.backoff.until:
+		return Local
 	case h.open >= p.boundOf(h):
 		return Full
 	case !p.fair(h):
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,8 @@
 	c.cancel()
 	hs.mu.Lock()
 	switch {
+	case err != nil && !c.closing && isLocal(err):
+		hs.pool.FailedHere(hs.now(), c.id)
 	case err != nil && !c.closing:
 		hs.pool.Failed(hs.now(), c.id)
 	case err == nil:
@@ -184,17 +186,21 @@
 	for _, p := range parts {
 		total += int64(len(p))
 	}
-	n := int64(0)
+	n, err := int64(0), error(nil)
 	if len(parts) == 1 {
-		written, _ := c.net.Write(c.head)
+		var written int
+		written, err = c.net.Write(c.head)
 		n = int64(written)
 	} else {
-		n, _ = parts.WriteTo(c.net)
+		n, err = parts.WriteTo(c.net)
 	}
-	if n != total {
-		return policy.ConnectFailed
+	switch {
+	case n == total:
+		return policy.Fulfilled
+	case isLocal(err):
+		return policy.NeverSent
 	}
-	return policy.Fulfilled
+	return policy.ConnectFailed
 }
 
 var (
