--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -242,6 +242,10 @@
 // accept takes connections until the listener closes. A lack of descriptors passes: it is waited out.
 func (b *Balancer) accept(listener net.Listener) {
 	defer b.clients.close()
+	b.acceptLoop(listener)
+}
+
+func (b *Balancer) acceptLoop(listener net.Listener) {
 	wait := time.Millisecond
 	queueEmpty := b.listening // until something is known of the queue of connections that wait to be accepted
 	for {
