Ask the system whether a client has gone right before an attempt begins

Root cause: that a client had gone was known only once its connection's reader had heard it. Ruled out: reading on past the bound, which costs memory and does not help after a stop.

What the client's own machine still holds behind a closed window is known to nobody here.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -12,6 +12,7 @@
 	s := &upstream.Attempt{To: o.to, Command: &c.Command, Value: c.value, Deadline: o.deadline, BeginBy: o.beginBy}
 	s.Room = c.hold
 	s.Pass = c.pass
+	s.Gone = c.clientGone
 	if c.upload != nil {
 		s.Upload = &c.upload.Upload
 	}
@@ -24,6 +25,17 @@
 	c.b.hosts.Send(s)
 }
 
+// freshFor is how long after its arrival a request's client has not left for so long that it matters.
+const freshFor = 50 * time.Millisecond
+
+// clientGone tells whether nobody waits for the call any more, right before an attempt would begin.
+func (c *call) clientGone() bool {
+	if time.Since(c.arrived) < freshFor {
+		return c.client.hasLeft()
+	}
+	return c.client.hasJustLeft()
+}
+
 // recall gives an attempt up.
 func (c *call) recall(o order) { c.attempts[o.attempt].GiveUp() }
 
--- a/internal/balancer/deadline_test.go
+++ b/internal/balancer/deadline_test.go
@@ -593,3 +593,41 @@
 		f.report(t)
 	})
 }
+
+// TestClientGoneBehindUnread has a client leave while much of what it sent stands unread, as there is no memory to read ahead: once
+// those before are over nothing of it is begun.
+func TestClientGoneBehindUnread(t *testing.T) {
+	f := newFaultyFleet(t, 4, fleetFaults{answers: []string{"slow hit"}, through: true})
+	f.mostHeld.Store(0)
+	conn, err := net.Dial("tcp", f.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := 0
+	send := func(requests int, wait time.Duration) {
+		var text strings.Builder
+		for range requests {
+			fmt.Fprintf(&text, "mg k%d v On%d Pc=read,d=%d\r\n", sent, sent, wait.Milliseconds())
+			sent++
+		}
+		io.WriteString(conn, text.String())
+	}
+	send(mostBehind, 3*time.Second)
+	time.Sleep(50 * time.Millisecond)
+	send(300, 3*time.Second)
+	time.Sleep(50 * time.Millisecond)
+	conn.(*net.TCPConn).CloseWrite() // closed whole it would be reset by the first answer, which ends what stands unread
+	left := time.Now()
+	t.Cleanup(func() { conn.Close() })
+	time.Sleep(time.Second)
+	f.ledger.mu.Lock()
+	defer f.ledger.mu.Unlock()
+	if len(f.ledger.attempts) == 0 {
+		t.Error("no attempt was made")
+	}
+	for _, a := range f.ledger.attempts {
+		if after := a.at.Sub(left); after > 100*time.Millisecond {
+			t.Errorf("%s was begun %v after its client had left", a.id, after)
+		}
+	}
+}
--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// hasJustLeft is hasLeft that does not wait for the reader to hear of the end: it may be held up, or be before other bytes.
+func (c *client) hasJustLeft() bool {
+	if !c.hasLeft() && c.receiver.ended() {
+		c.leaves()
+	}
+	return c.hasLeft()
+}
+
 // listen waits for something other than the client's next bytes, and hears meanwhile when it goes away: what it asked for must
 // not be begun after that, and what is on its way is to be given up.
 func (c *client) listen(wait func()) {
--- a/internal/balancer/receiver.go
+++ b/internal/balancer/receiver.go
@@ -105,6 +105,19 @@
 	return r.result()
 }
 
+// ended asks the system whether the client has ended its sending, or the connection, also where bytes before that are unread.
+func (r *receiver) ended() (ended bool) {
+	if r.raw == nil {
+		return false
+	}
+	r.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(state, 0)
+		ended = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0
+	})
+	return ended
+}
+
 func (r *receiver) prepare(p []byte) { r.into, r.n, r.err, r.waited = p, 0, nil, false }
 
 func (r *receiver) result() (n int, arrived time.Time, err error) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -92,7 +92,8 @@
 // the connection can be kept.
 func (c *conn) carry(s *Attempt) (r Result, written, keep bool) {
 	// The order may have waited for the connection: what is over, or drained by now, is not written any more.
-	if !s.carry(c.abort) || c.hosts.tooLate(c.host) || s.BeginBy.Passed() || s.Deadline.Passed() {
+	if !s.carry(c.abort) || c.hosts.tooLate(c.host) || s.BeginBy.Passed() || s.Deadline.Passed() ||
+		s.Gone != nil && s.Gone() {
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	c.net.SetReadDeadline(s.Deadline.Time())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,6 +36,7 @@
 	BeginBy  deadline.Deadline         // not a byte of it is written from then on
 	Room     func(bytes int) bool      // is asked before a value is held
 	Pass     func(*Value) (whole bool) // takes a long value to its end, or not; it may block
+	Gone     func() bool               // tells that nobody waits for the request any more; nil: not known
 	Done     func(Result)
 
 	hosts *Hosts
