--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -64,6 +64,7 @@
 	tally      tally
 	figures    *figures
 	upgrade    upgrade
+	bans       bans
 	fleet      fleet
 	limits     *limits    // nil: parts of what holds for the fleet are equal ones
 	orders     *orders    // nil: orders by hand hold here alone
@@ -92,6 +93,7 @@
 			Most: up, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout, Reports: told.Reports,
 			Grace: grace, Epoch: epochNanos}, told.Terms.OriginKind)}
 	b.starts = newStarts(time.Now)
+	b.bans.save = handover.Save
 	b.pace = discovery.PaceOf(grace, !told.Terms.MustSubscribe)
 	b.fleet.own = own.Fleet
 	b.whole = holds{clients: int64(room - up), upstream: int64(up), calls: min(int64(told.MostOpen), int64(told.MemoryMB)<<20/part/callBytes),
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"runtime/debug"
@@ -42,8 +43,9 @@
 )
 
 var (
-	errBusy   = errors.New("an upgrade is under way already")
-	errNoWord = errors.New("this process has done it; the other one of an upgrade does not answer")
+	errBusy    = errors.New("an upgrade is under way already")
+	errNotKept = errors.New("it is done, but could not be kept in a file yet: a restart would forget it")
+	errNoWord  = errors.New("this process has done it; the other one of an upgrade does not answer")
 )
 
 // listen opens the clients' address. Where there is a door an older process may serve there, which hands it over.
@@ -281,13 +283,16 @@
 	case !held && !fleet:
 		return admin.ErrTooMany
 	}
-	b.apply(id, out)
+	kept := b.apply(id, out)
 	if p := u.heir; p != nil {
 		m.Kind = handover.Ban
 		_, heard = u.say(p, m)
 	}
-	if !heard {
+	switch {
+	case !heard:
 		return errNoWord
+	case kept != nil:
+		return fmt.Errorf("%w: %w", errNotKept, kept)
 	}
 	return nil
 }
@@ -305,10 +310,10 @@
 	return nil
 }
 
-// apply changes a ban here; the file has it before anybody is told yes.
-func (b *Balancer) apply(id policy.CacheID, out bool) {
+// apply changes a ban here; the file has it before anybody is told yes, or else the error tells that it has not.
+func (b *Balancer) apply(id policy.CacheID, out bool) error {
 	b.change(id, out)
-	b.saveBans()
+	return b.saveBans()
 }
 
 // change takes a host out first where calls are given to it, then where they are written, and puts it back the other way
@@ -338,14 +343,6 @@
 	return all
 }
 
-func (b *Balancer) saveBans() {
-	var all []string
-	b.decide(func() { all = b.excluded() })
-	if err := handover.Save(b.banFile(), all); err != nil {
-		b.log.Warn().Err(err).Msg("the hosts out by hand are not kept in a file")
-	}
-}
-
 // tellHolds says what this process holds, until the other one has ended.
 func (b *Balancer) tellHolds(p *handover.Peer) {
 	t := time.NewTicker(holdsEvery)
