--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted" >&2; exit 1; fi
 	go vet ./...
+	go tool -modfile=tools/go.mod staticcheck ./...
 
 # A balancer on 127.0.0.1:11211 with one cache host that need not exist; ends with an interrupt.
 run: build
--- a/cmd/streamrail/stream_test.go
+++ b/cmd/streamrail/stream_test.go
@@ -32,6 +32,9 @@
 	c := p.dial(t)
 	c.send(get("large", "a", 900) + get("small", "b", 3000))
 	line, err := c.in.ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
 	expect(t, line, fmt.Sprintf("VA %d Oa\r\n", large))
 	first := make([]byte, len(piece)/2)
 	if _, err = io.ReadFull(c.in, first); err != nil {
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -76,8 +76,10 @@
 	b, c, peer := stand(t) // its limit is none at all
 	b.mostHeld.Store(100)
 	io.WriteString(peer, "ms k 7 O1 Pc=pay,d=900\r\nmn\r\nmn\r\r\nmn\r\n")
-	if !b.command(c) || !b.command(c) {
-		t.Fatal("the connection ends")
+	for range 2 {
+		if !b.command(c) {
+			t.Fatal("the connection ends")
+		}
 	}
 	in := bufio.NewReader(peer)
 	for _, want := range []string{"SERVER_ERROR busy\r\n", "MN\r\n"} {
--- a/internal/fleet/carry/shares.go
+++ b/internal/fleet/carry/shares.go
@@ -6,7 +6,7 @@
 	"streamrail/internal/fleet/share"
 )
 
-// Topics of letters.
+// TopicShares is carried over datagrams for package share.
 const TopicShares = 1
 
 // shares is share.Message as it is sent.
--- a/internal/rehearsal/measure/members.go
+++ b/internal/rehearsal/measure/members.go
@@ -60,9 +60,7 @@
 		first, last, birth, heal = append(first, f), append(last, l), append(birth, b), append(heal, h)
 	})
 	m.First, m.Last, m.Birth, m.Heal = gather.Of(first), gather.Of(last), gather.Of(birth), gather.Of(heal)
-	for _, c := range []Calm{{}, {Loss: 0.05}, {Loss: 0.3}, {Loss: 0.05, Stall: time.Second}} {
-		m.Calm = append(m.Calm, c)
-	}
+	m.Calm = append(m.Calm, Calm{}, Calm{Loss: 0.05}, Calm{Loss: 0.3}, Calm{Loss: 0.05, Stall: time.Second})
 	for i := range m.Calm {
 		c := &m.Calm[i]
 		every, length := time.Duration(0), quiet
--- a/internal/rehearsal/standin/node.go
+++ b/internal/rehearsal/standin/node.go
@@ -120,7 +120,7 @@
 	return model.Entry{Node: n.ID, Zone: n.Zone, Kind: "cache", Condition: c, Weight: n.Group.Speed * float64(n.Group.Cores), Born: n.born}
 }
 
-// Slow, Stall, Spoil, Reset, Fail, Delay and Cut disturb the node; their zero values end that.
+// Slow makes the node work so many times slower. It and the methods that follow disturb the node; their zero values end that.
 func (n *Node) Slow(times float64) { n.change(func() { n.m.Slow(max(times, 1)) }) }
 
 // Stall makes the node take calls and do none.
--- a/internal/rehearsal/virtual/virtual_test.go
+++ b/internal/rehearsal/virtual/virtual_test.go
@@ -34,7 +34,7 @@
 		}
 		return sha256.Sum256(trace.Bytes())
 	}
-	if sum(3) != sum(3) {
+	if first, again := sum(3), sum(3); first != again {
 		t.Error("the same seed gave two days")
 	}
 	if sum(3) == sum(4) {
