--- a/policy/state.go
+++ b/policy/state.go
@@ -7,7 +7,7 @@
 	"slices"
 )
 
-// What a Balancer remembers. How it is used is all in policy.go.
+// What a Balancer remembers. How it is used stands in the files that decide, listed at the top of policy.go.
 
 // Balancer holds what one balancer knows.
 type Balancer struct {
