--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 rehearse: build
 	bin/rehearse suite --out out
 
-# How far the load generator goes on this machine, and what a balancer adds to an API call; some minutes.
+# How far the load generator goes on this machine, and what a balancer adds to a request; some minutes.
 measure: build
 	bin/rehearse measure
 
--- a/cmd/rehearse/commands.go
+++ b/cmd/rehearse/commands.go
@@ -407,7 +407,7 @@
 	Quiet    time.Duration `default:"2h" help:"With members: how long each quiet fleet is played in virtual time."`
 	Stalled  time.Duration `default:"2h" help:"With members: how long the fleet with 5% loss and stalls is played in virtual time."`
 	Balancer string        `help:"The balancer program; by default streamrail beside this one." type:"path" placeholder:"FILE"`
-	Rates    []float64     `default:"500,1000,2000,4000,8000,16000" help:"API calls a second."`
+	Rates    []float64     `default:"500,1000,2000,4000,8000,16000" help:"requests a second."`
 	For      time.Duration `default:"4s" help:"How long each rate is kept up, each way."`
 	Repeats  int           `default:"3" help:"How often; the figures are medians."`
 	Clients  []int         `help:"In place of rates: so many clients, each of which sends its next call as soon as it has its answer."`
@@ -451,7 +451,7 @@
 	if c.JSON {
 		return printJSON(rows)
 	}
-	fmt.Printf("driven at %v late or less at p99.9, %d cores: %.0f API calls a second\n", measure.LateMost, runtime.NumCPU(), measure.Driven(rows))
+	fmt.Printf("driven at %v late or less at p99.9, %d cores: %.0f requests a second\n", measure.LateMost, runtime.NumCPU(), measure.Driven(rows))
 	return nil
 }
 
--- a/cmd/streamrail/limits_test.go
+++ b/cmd/streamrail/limits_test.go
@@ -35,7 +35,7 @@
 	return time.Since(began)
 }
 
-// calls sends API calls of the tenant to a balancer, so many a second, until it is told to end.
+// calls sends requests of the tenant to a balancer, so many a second, until it is told to end.
 func (m *mate) calls(t *testing.T, perS int) (end func()) {
 	t.Helper()
 	c := m.dial(t)
--- a/cmd/streamrail/main.go
+++ b/cmd/streamrail/main.go
@@ -1,4 +1,4 @@
-// Command streamrail is one balancer: it takes API calls from clients and sends them on to cache hosts.
+// Command streamrail is one balancer: it takes requests from clients and sends them on to cache hosts.
 package main
 
 import (
--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -438,7 +438,7 @@
 	}
 }
 
-// Clients that go on working through a planned restart: a kept connection may end between API calls, but one
+// Clients that go on working through a planned restart: a kept connection may end between requests, but one
 // that the front has just opened always answers, or what it carries is lost.
 func TestDrainUnderWork(t *testing.T) {
 	h := newHost(t, "h", hit)
@@ -567,7 +567,7 @@
 	}
 }
 
-// Clients hold only so many connections for API calls. Some ask once and stay: where they hold nearly all, the one idle
+// Clients hold only so many connections for requests. Some ask once and stay: where they hold nearly all, the one idle
 // longest is closed, long before places are wanted here, or the next call finds none to come over.
 func TestClientsOutOfConnections(t *testing.T) {
 	h := newHost(t, "h", hit)
@@ -662,7 +662,7 @@
 }
 
 // A new configuration under load: the list comes from the new address from then on, also where a variable named
-// the old one, and nothing more is heard from there; no API call is lost. A faulty file changes nothing.
+// the old one, and nothing more is heard from there; no request is lost. A faulty file changes nothing.
 func TestReload(t *testing.T) {
 	x, y := newHost(t, "x", hit), newHost(t, "y", hit)
 	old, next := newList(t), newList(t)
@@ -671,7 +671,7 @@
 	cfg := config(old, freeAddr(t), nil)
 	p := serving(t, cfg, "GW_DISCOVERY="+addr(old.Server))
 	stop, answers := make(chan struct{}), make(chan string, 1)
-	go func() { // API calls all the while
+	go func() { // Requests all the while
 		c := p.dial(t)
 		for n := 0; ; n++ {
 			id := fmt.Sprint("r", n)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -290,13 +290,13 @@
 type Figures struct {
 	Products []Product
 	Attempts int64  // written whole
-	InHand   int64  // API calls
+	InHand   int64  // Requests
 	Listed   int    // cache hosts
 	Avoided  int    // of those
 	Fleet    *Fleet // nil where it speaks with no other balancer
 }
 
-// Product is one with the final answers that its API calls were given.
+// Product is one with the final answers that its requests were given.
 type Product struct {
 	Name                            string
 	Fulfilled, RateLimited, Errored int64
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -14,20 +14,20 @@
 	seated int // of these, served
 	most   int // may be
 	open   int // are accepted: some more, so that each gets a prompt answer instead of silence
-	proven int // have carried an API call and are not making room
+	proven int // have carried a request and are not making room
 	kept   int // of those, before idle ones make room
 	shut   bool
 	none   chan struct{} // closed once the listener is closed and all have left
 	left   chan struct{} // one has left
 }
 
-// newClients bounds them by limit. Clients hold a third of the descriptors at most for API calls: kept is to be a good part of
+// newClients bounds them by limit. Clients hold a third of the descriptors at most for requests: kept is to be a good part of
 // that, so that a burst still finds some.
 func newClients(kept int) *clients {
 	return &clients{kept: kept, all: map[*client]struct{}{}, none: make(chan struct{}), left: make(chan struct{}, 1)}
 }
 
-// idleMost is how long a connection that has carried an API call stands idle at the most, as the operators allow it: some
+// idleMost is how long a connection that has carried a request stands idle at the most, as the operators allow it: some
 // clients ask once and never close, and hold connections that they could open elsewhere.
 const idleMost = 2050 * time.Millisecond
 
@@ -89,8 +89,8 @@
 	return true
 }
 
-// proves hears that a connection carries an API call. Clients may hold only so many connections for those, and some ask
-// once and stay: where they hold nearly all, an idle one makes room, lest the next API call finds none to come over.
+// proves hears that a connection carries a request. Clients may hold only so many connections for those, and some ask
+// once and stay: where they hold nearly all, an idle one makes room, lest the next request finds none to come over.
 func (cs *clients) proves(c *client) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -174,7 +174,7 @@
 	switch {
 	case !idles: // it changes over just now
 		return inHand, since, 0
-	case !c.proven.Load(): // nothing, or no API call
+	case !c.proven.Load(): // nothing, or no request
 		return silent, since, silentLeast
 	}
 	if c.reused.Load() {
@@ -215,7 +215,7 @@
 	return len(cs.all)
 }
 
-// endIdle wakes the readers of all connections: those between API calls close. One that has carried none yet
+// endIdle wakes the readers of all connections: those between requests close. One that has carried none yet
 // was opened for one that is on its way, and is given a moment.
 func (cs *clients) endIdle() {
 	cs.mu.Lock()
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -39,7 +39,7 @@
 // recall gives an attempt up.
 func (c *call) recall(o order) { c.attempts[o.attempt].GiveUp() }
 
-// hold takes memory for a value until the API call is left; false where there is no room for it.
+// hold takes memory for a value until the request is left; false where there is no room for it.
 func (c *call) hold(bytes int) bool {
 	held := c.b.hold(bytes)
 	if held {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,5 +1,5 @@
-// Package balancer serves clients: it takes API calls from their connections, has the module decide about
-// each, carries out what it orders and answers. The files follow the stages of an API call: accept, read,
+// Package balancer serves clients: it takes requests from their connections, has the module decide about
+// each, carries out what it orders and answers. The files follow the stages of a request: accept, read,
 // decide, send, reply. Nothing here chooses where a call goes or whether it is tried again.
 package balancer
 
@@ -50,14 +50,14 @@
 	now    policy.Nanos // fixed for the thing that happens
 	wakes  wakes
 	calls  map[policy.CallID]*call
-	ids    map[string]struct{} // those that clients gave their API calls in hand
+	ids    map[string]struct{} // those that clients gave their requests in hand
 	taken  uint64
 
 	clients    *clients
 	rested     chan *call   // is read by goroutines that rest between calls
 	resting    atomic.Int64 // are so many
 	whole      holds        // what a balancer may hold
-	open       atomic.Int64 // API calls in hand
+	open       atomic.Int64 // Requests in hand
 	mostInHand atomic.Int64
 	held       atomic.Int64 // bytes of values in hand
 	mostHeld   atomic.Int64
@@ -139,10 +139,10 @@
 
 const (
 	// upstreamPart is the eighths of the room for connections to hosts. Clients hold a third of the descriptors at most
-	// for API calls, and each of those needs one to a host; what else connects stands on the clients' side.
+	// for requests, and each of those needs one to a host; what else connects stands on the clients' side.
 	upstreamPart = 3
 	ownSockets   = 16       // descriptors for the listener, discovery, logs and the runtime: seven, and some to spare
-	part         = 4        // of the memory for API calls in hand, and as much for their values
+	part         = 4        // of the memory for requests in hand, and as much for their values
 	callBytes    = 32 << 10 // stacks and buffers of one with its two connections
 	mostToOrigin = 64       // the module starts with as many attempts out there
 )
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -11,19 +11,19 @@
 	"streamrail/policy"
 )
 
-// call is one API call in hand. Its goroutine runs live.
+// call is one request in hand. Its goroutine runs live.
 type call struct {
 	memcache.Command
 	b        *Balancer
 	client   *client
 	line     [256]byte // where the command's line is kept, if it fits
 	value    []byte
-	upload   *upload // a long value, which comes while the API call lives
+	upload   *upload // a long value, which comes while the request lives
 	product  policy.Product
 	customer policy.Customer
 	arrived  time.Time         // its last byte, or the head of a long write
 	deadline deadline.Deadline // of the client; of a long write fixed by its reader, once its last byte has arrived
-	id       policy.CallID     // of our own: no two API calls in hand share one, whatever clients send
+	id       policy.CallID     // of our own: no two requests in hand share one, whatever clients send
 	turn     chan struct{}     // closed when the commands before it are answered
 	answered chan struct{}     // closed when this one is
 
@@ -44,7 +44,7 @@
 	took    time.Duration
 }
 
-// order is what the module wants done for an API call.
+// order is what the module wants done for a request.
 type order struct {
 	do       func(c *call, o order)
 	to       policy.CacheID
@@ -57,7 +57,7 @@
 // wayBack is kept of the client's time for the answer to reach it.
 const wayBack = 3 * time.Millisecond
 
-// live is the life of one API call, from when it was read to its one final answer and the end of its attempts.
+// live is the life of one request, from when it was read to its one final answer and the end of its attempts.
 func (b *Balancer) live(c *call) {
 	defer b.leave(c)
 	due := c.deadline.Earlier(wayBack)
@@ -113,7 +113,7 @@
 	}
 }
 
-// abandon ends an API call whose client has gone away.
+// abandon ends a request whose client has gone away.
 func (b *Balancer) abandon(c *call) {
 	b.decide(func() {
 		if !c.settled {
@@ -149,7 +149,7 @@
 // mostResting bounds the goroutines that wait for a call: a burst leaves no more behind.
 const mostResting = 64
 
-// leave forgets an API call that has its answer and whose attempts have ended.
+// leave forgets a request that has its answer and whose attempts have ended.
 func (b *Balancer) leave(c *call) {
 	b.mu.Lock()
 	delete(b.calls, c.id)
--- a/internal/balancer/evidence.go
+++ b/internal/balancer/evidence.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// saw notes how an attempt of an API call ended.
+// saw notes how an attempt of a request ended.
 func (b *Balancer) saw(c *call, e ending) {
 	if w := b.witnesses; w != nil {
 		if good, proves := evidence.Proves(e.Outcome, policy.Nanos(e.took), b.told.Terms.Products[c.product].LatencySLO); proves {
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -8,7 +8,7 @@
 	"streamrail/policy"
 )
 
-// final is the kind of an API call's one final answer.
+// final is the kind of a request's one final answer.
 type final int
 
 const (
@@ -22,7 +22,7 @@
 type figures struct {
 	names  []string // by product
 	finals [][errored + 1]atomic.Int64
-	inHand atomic.Int64 // API calls taken and neither answered nor abandoned
+	inHand atomic.Int64 // Requests taken and neither answered nor abandoned
 }
 
 func newFigures(told *deployment.Deployment) *figures {
--- a/internal/balancer/limits.go
+++ b/internal/balancer/limits.go
@@ -24,7 +24,7 @@
 	grains  []float64
 	floors  []float64
 	tenants int            // so many are allowances
-	came    []atomic.Int64 // API calls of each customer since the last turn
+	came    []atomic.Int64 // Requests of each customer since the last turn
 	ends    atomic.Int64   // by the parts' clock: some part changes by itself then
 
 	mu      sync.Mutex
@@ -183,7 +183,7 @@
 	}
 }
 
-// arrives counts an API call in for its customer. Where a lease has ended since the last turn the module is told first: no
+// arrives counts a request in for its customer. Where a lease has ended since the last turn the module is told first: no
 // decision goes by a part that is somebody else's again.
 func (b *Balancer) arrives(c policy.Customer) {
 	l := b.limits
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -15,7 +15,7 @@
 	Starting Phase = iota // knows the list as it had it last and asks for the present one
 	Serving
 	Leaving  // goes on serving while its peers and the front take note
-	Draining // answers what comes and has come, closes connections between API calls
+	Draining // answers what comes and has come, closes connections between requests
 	Stopped
 )
 
@@ -38,7 +38,7 @@
 // Drain begins the ordered end.
 func (b *Balancer) Drain() { b.enter(Leaving) }
 
-// Stop ends at once; API calls in hand are lost.
+// Stop ends at once; requests in hand are lost.
 func (b *Balancer) Stop() { b.enter(Stopped) }
 
 const (
@@ -136,7 +136,7 @@
 	}
 }
 
-// drain closes connections between API calls and waits for what is in hand.
+// drain closes connections between requests and waits for what is in hand.
 func (b *Balancer) drain(listener net.Listener, end <-chan time.Time) {
 	b.clients.endIdle()
 	front := time.After(fresh)
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -27,7 +27,7 @@
 	due       time.Time    // when the command that has begun must be whole
 	within    atomic.Bool  // a command has begun to come
 	used      atomic.Bool  // it has carried a command
-	proven    atomic.Bool  // it has carried an API call, if only one that was turned away
+	proven    atomic.Bool  // it has carried a request, if only one that was turned away
 	reused    atomic.Bool  // it has carried several
 	idleSince atomic.Int64 // nanoseconds after opened, and one; 0 while anything is in hand
 	outOfRoom atomic.Bool  // it makes room for others
@@ -41,13 +41,13 @@
 	gone      chan struct{} // closed when the client has gone away
 	goneOnce  sync.Once
 	last      chan struct{} // closed when the last command is answered
-	behind    chan struct{} // holds one for each API call in hand
+	behind    chan struct{} // holds one for each request in hand
 }
 
 const (
 	commandWait = 2500 * time.Millisecond // for the whole of a command
 	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
-	mostBehind  = 32                      // API calls of one connection in hand
+	mostBehind  = 32                      // Requests of one connection in hand
 )
 
 // newClient serves a connection on which nothing had arrived at a moment.
@@ -135,7 +135,7 @@
 // waited tells that the wait for the next command is over, not that an answer took long.
 func (c *client) waited() bool { return c.outOfRoom.Load() || !time.Now().Before(c.until(Serving)) }
 
-// serve reads the commands of one connection. Each API call lives in a goroutine of its own, so that this one
+// serve reads the commands of one connection. Each request lives in a goroutine of its own, so that this one
 // hears when the client goes away.
 func (b *Balancer) serve(c *client) {
 	defer b.clients.leave(c)
@@ -172,7 +172,7 @@
 		_, err = c.in.Peek(1)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// Woken without a look at what has come: closing now would lose an API call that the machine has taken.
+		// Woken without a look at what has come: closing now would lose a request that the machine has taken.
 		if c.over.Load() || !c.look() {
 			return c.end()
 		}
@@ -296,7 +296,7 @@
 	return nil
 }
 
-// claim takes the call's id; false where another API call in hand has it. Hosts know an attempt by that id, and would
+// claim takes the call's id; false where another request in hand has it. Hosts know an attempt by that id, and would
 // take one of two for the other's repeat.
 func (b *Balancer) claim(c *call) bool {
 	b.mu.Lock()
@@ -344,7 +344,7 @@
 	return false
 }
 
-// say answers a command that is no API call, in its turn.
+// say answers a command that is no request, in its turn.
 func (c *client) say(text string) bool {
 	c.awaitAnswered()
 	c.net.SetWriteDeadline(time.Now().Add(replyWait))
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -12,7 +12,7 @@
 	"streamrail/policy"
 )
 
-// stand joins a client's end to a balancer that has no module: no API call gets that far.
+// stand joins a client's end to a balancer that has no module: no request gets that far.
 func stand(t *testing.T) (*Balancer, *client, net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,7 +39,7 @@
 }
 
 // A connection that is woken to close may hold a command that has come by then: closing without a look would
-// lose an API call that this machine has taken.
+// lose a request that this machine has taken.
 func TestLastLook(t *testing.T) {
 	b, c, peer := stand(t)
 	io.WriteString(peer, "mn\r\n")
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -10,7 +10,7 @@
 // replyWait bounds how long a client may leave an answer unread.
 const replyWait = 5 * time.Second
 
-// fulfil passes on the value or the receipt that a host gave for this API call.
+// fulfil passes on the value or the receipt that a host gave for this request.
 func (c *call) fulfil(body []byte) {
 	if c.Write {
 		c.answer(fulfilled, memcache.AppendReceipt(nil, c.ID, body))
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -14,7 +14,7 @@
 	boundLeast  = 5 // refusals by a bound on connections in that time: fewer is a burst that passed
 )
 
-// tally counts what became of API calls and attempts since the start.
+// tally counts what became of requests and attempts since the start.
 type tally struct {
 	fulfilled, rateLimited, errored, abandoned atomic.Int64
 	// Under Balancer.mu.
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -153,7 +153,7 @@
 	}
 	switch {
 	case u.end == errBadChunk:
-		return c.part("") // the API call's own answer has been given: nothing ran
+		return c.part("") // the request's own answer has been given: nothing ran
 	case u.end != nil:
 		return c.lost(u.end)
 	}
--- a/internal/balancer/wakes.go
+++ b/internal/balancer/wakes.go
@@ -6,7 +6,7 @@
 	"streamrail/policy"
 )
 
-// wakes hold what the module wants to be woken for. Each API call leaves one or two that outlive it, tens of thousands
+// wakes hold what the module wants to be woken for. Each request leaves one or two that outlive it, tens of thousands
 // at a time on a busy balancer: a timer of the runtime for each, with its goroutine, was a tenth of a call's cost. They
 // stand in slots of a millisecond, which is well within the tick that the module reckons with; one timer serves all.
 // All is under Balancer.mu.
--- a/internal/deployment/terms.go
+++ b/internal/deployment/terms.go
@@ -48,7 +48,7 @@
 	return n
 }
 
-// price is what one of something takes off an API call's billed value; 0 where it is not told.
+// price is what one of something takes off a request's billed value; 0 where it is not told.
 func (r *reader) price(path string) float64 {
 	n := r.num(path, 0)
 	if !(n >= 0 && n < math.Inf(1)) {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -14,7 +14,7 @@
 
 func roomy(int) bool { return true }
 
-// What two readers could frame differently must not pass: bytes left over would answer the next API call.
+// What two readers could frame differently must not pass: bytes left over would answer the next request.
 func TestRead(t *testing.T) {
 	for _, row := range []struct {
 		in, body string
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -324,7 +324,7 @@
 const (
 	Alive      = "MN\r\n"
 	NotServing = "SERVER_ERROR draining\r\n"
-	NoAnswer   = "SERVER_ERROR failed\r\n" // an API call errored; promises nothing
+	NoAnswer   = "SERVER_ERROR failed\r\n" // a request errored; promises nothing
 )
 
 // AppendRateLimited appends a rate-limit reply: trying again is harmless, after so long if it is not 0.
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -13,7 +13,7 @@
 	"streamrail/internal/rehearsal/record"
 )
 
-// Effect says whether an API call may run again.
+// Effect says whether a request may run again.
 type Effect int
 
 const (
@@ -33,7 +33,7 @@
 // Terms are the figures of the rules.
 type Terms struct {
 	Products   []Product
-	Attempts   int // of one API call at most
+	Attempts   int // of one request at most
 	DrainGrace time.Duration
 	Slack      time.Duration // that each time limit gets for the way of bytes
 	Prompt     time.Duration // in which what is given up is answered, besides Slack
@@ -143,9 +143,9 @@
 	doubtful map[Rule]int
 	count    map[Rule]int
 	notes    []string
-	attempts map[string][]record.Attempt // by API call, in the order of their coming
+	attempts map[string][]record.Attempt // by request, in the order of their coming
 	calls    map[string]*record.Call
-	effects  map[string][]record.Effect // by API call
+	effects  map[string][]record.Effect // by request
 }
 
 // Judge checks a record.
@@ -243,7 +243,7 @@
 
 func (c *court) product(k *record.Call) Product { return c.terms.Products[k.Product] }
 
-// answer checks rule one for one API call.
+// answer checks rule one for one request.
 func (c *court) answer(k *record.Call) {
 	if k.NotTaken || c.stood(k) {
 		return
@@ -337,7 +337,7 @@
 	}
 }
 
-// repeats checks rule two for one API call: what its attempts could have done, and what was promised.
+// repeats checks rule two for one request: what its attempts could have done, and what was promised.
 func (c *court) repeats(k *record.Call) {
 	p, attempts := c.product(k), c.attempts[k.ID]
 	for i, s := range attempts {
--- a/internal/rehearsal/load/load.go
+++ b/internal/rehearsal/load/load.go
@@ -1,4 +1,4 @@
-// Package load plays the callers of a rehearsal: an open loop of API calls that does not wait for answers, over
+// Package load plays the callers of a rehearsal: an open loop of requests that does not wait for answers, over
 // connections that are kept, with clients that give up, try again and come back when they are told to.
 package load
 
@@ -143,7 +143,7 @@
 // sleepMost bounds how long an order to stop goes unheard.
 const sleepMost = 100 * time.Millisecond
 
-// live is the life of one API call of a client, with all its tries.
+// live is the life of one request of a client, with all its tries.
 func (c *Callers) live(a *model.Arrival) {
 	p := &c.w.Day.Products[a.Product]
 	chance := model.Stream(c.w.Day.Seed, "client "+a.ID)
--- a/internal/rehearsal/measure/measure.go
+++ b/internal/rehearsal/measure/measure.go
@@ -1,4 +1,4 @@
-// Package measure finds how far the load generator goes on a machine and what a balancer adds to an API call: the same
+// Package measure finds how far the load generator goes on a machine and what a balancer adds to a request: the same
 // callers speak to a node straight and through a balancer, in turn, at rising rates. The nodes answer at once.
 package measure
 
--- a/internal/rehearsal/model/callers.go
+++ b/internal/rehearsal/model/callers.go
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// Product is a kind of API call.
+// Product is a kind of request.
 type Product struct {
 	Name          string
-	Share         float64 // of all API calls
+	Share         float64 // of all requests
 	LatencySLO    time.Duration
 	ClientTimeout time.Duration
 	BilledValue   float64
@@ -44,7 +44,7 @@
 // LoadTerms is what the callers do.
 type LoadTerms struct {
 	For      time.Duration
-	PerS     float64 // all API calls, without surges
+	PerS     float64 // all requests, without surges
 	Swing    float64 // the rate goes up and down by this part, once in SwingFor
 	SwingFor time.Duration
 	Keys     int
@@ -57,7 +57,7 @@
 	GiveUpAt [2]float64 // a try is given up after this part of the client timeout
 }
 
-// Arrival is an API call that a client wants to make at a moment.
+// Arrival is a request that a client wants to make at a moment.
 type Arrival struct {
 	ID              string
 	At              time.Duration
@@ -72,7 +72,7 @@
 // MostArrivals bounds a day: about 400 MB of plan.
 const MostArrivals = 2 << 20
 
-// Arrivals draws a day's API calls, in order. Each tenant draws from a stream of its own, so that a surge of one leaves
+// Arrivals draws a day's requests, in order. Each tenant draws from a stream of its own, so that a surge of one leaves
 // the others' calls as they were.
 func Arrivals(seed uint64, t LoadTerms) ([]Arrival, error) {
 	var all []Arrival
@@ -117,7 +117,7 @@
 				t.focus(&a, part, spread)
 			}
 			if all = append(all, a); len(all) > MostArrivals {
-				return nil, fmt.Errorf("more than %d API calls in the day", MostArrivals)
+				return nil, fmt.Errorf("more than %d requests in the day", MostArrivals)
 			}
 		}
 	}
--- a/internal/rehearsal/model/engine.go
+++ b/internal/rehearsal/model/engine.go
@@ -14,7 +14,7 @@
 
 // Job is one piece of work at a server.
 type Job struct {
-	ID    string        // of the API call whose attempt it is; "" for work that nobody waits for
+	ID    string        // of the request whose attempt it is; "" for work that nobody waits for
 	Key   string        // that it reads or writes
 	Mark  string        // against repeats, of a deduplicated write
 	Write bool          // it has an effect
--- a/internal/rehearsal/record/record.go
+++ b/internal/rehearsal/record/record.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// Reply is what a client got for an API call.
+// Reply is what a client got for a request.
 type Reply int
 
 const (
 	None        Reply = iota // nothing until its time was up
-	Fulfilled                // the value or the receipt made for this API call
+	Fulfilled                // the value or the receipt made for this request
 	RateLimited              // trying again is harmless
 	Errored                  // promises nothing
 	Wrong                    // something else than what was made for it
--- a/internal/rehearsal/runner/wrong_test.go
+++ b/internal/rehearsal/runner/wrong_test.go
@@ -208,7 +208,7 @@
 
 const busy, failed = "SERVER_ERROR busy\r\n", "SERVER_ERROR failed\r\n"
 
-// live is the life of an API call here.
+// live is the life of a request here.
 func (b *wrong) live(cmd *memcache.Command, value []byte, until time.Time) string {
 	switch {
 	case b.what == "lose" && b.every(50):
--- a/internal/rehearsal/scenario/read.go
+++ b/internal/rehearsal/scenario/read.go
@@ -233,7 +233,7 @@
 	within(c, "load.quota", d.Load.Quota, 0.01, 10)
 	within(c, "load.warm", d.Load.Warm, 0, 1)
 	if n := d.Load.PerS * d.Length.D().Seconds(); n > model.MostArrivals/4 {
-		c.Bad("load.per_s", "%.0f API calls in %v are more than the kit plans (%d)", n, d.Length, model.MostArrivals/4)
+		c.Bad("load.per_s", "%.0f requests in %v are more than the kit plans (%d)", n, d.Length, model.MostArrivals/4)
 	}
 	within(c, "client.tries", d.Clients.Tries, 0, 10)
 	within(c, "client.wait", d.Clients.Wait, Span(time.Millisecond), longest)
--- a/internal/rehearsal/scenario/scenario.go
+++ b/internal/rehearsal/scenario/scenario.go
@@ -53,7 +53,7 @@
 	Cross     Span     `toml:"cross"`     // one way between zones
 	MemoryMB  int      `toml:"memory_mb"` // of each balancer
 	Sockets   int      `toml:"sockets"`
-	Attempts  int      `toml:"shots"`   // of one API call at most
+	Attempts  int      `toml:"shots"`   // of one request at most
 	Mode      string   `toml:"mode"`    // aside: nodes answer a miss and the balancer asks the gateway; through: nodes ask it
 	Reports   bool     `toml:"reports"` // nodes add their load to answers
 }
@@ -117,7 +117,7 @@
 	ZoneParts []float64  `toml:"zone_parts"`
 }
 
-// Product is a kind of API call.
+// Product is a kind of request.
 type Product struct {
 	Name          string    `toml:"name"`
 	Share         float64   `toml:"share"`
@@ -234,7 +234,7 @@
 	"by-hand":          {"operators take nodes out at every balancer, restart them, and put them back after FOR", []string{"for"}, []string{"nodes", "part"}},
 	"tenant-move":      {"a tenant's clients use BALANCERS from now on", []string{"tenant", "balancers"}, nil},
 	"upgrade":          {"a new process takes over from each balancer under load", nil, []string{"balancers"}},
-	"crowd":            {"COUNT connections come in FOR, most of which never finish an API call", []string{"for", "count"}, nil},
+	"crowd":            {"COUNT connections come in FOR, most of which never finish a request", []string{"for", "count"}, nil},
 	"surge":            {"traffic is BY times the usual", []string{"for", "by"}, []string{"tenant"}},
 	"scan":             {"this part of the reads ask for keys wanted exactly once", []string{"for", "part"}, nil},
 	"hot":              {"this part of the reads ask for a few keys", []string{"for", "part", "keys"}, nil},
@@ -376,7 +376,7 @@
 	return n.Idle.D()
 }
 
-// Capacity is how many API calls a second the nodes can do at the start.
+// Capacity is how many requests a second the nodes can do at the start.
 func (d *Day) Capacity() float64 {
 	work, shares, able := 0.0, 0.0, 0.0
 	for _, p := range d.Products {
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// call is an API call as a balancer has it.
+// call is a request as a balancer has it.
 type call struct {
 	id, key, mark string
 	write         bool
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -197,7 +197,7 @@
 }
 
 // An attempt handed to a connection at rest just as its host closes it goes over another one: not a byte was
-// written, and calling it a reset would forbid a non-idempotent API call its next attempt.
+// written, and calling it a reset would forbid a non-idempotent request its next attempt.
 func TestClosedAsHanded(t *testing.T) {
 	hs, _, conns := stand(t, wide)
 	w := &rested{cut{room: 1 << 20}, make(chan string, 1)}
--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// bears tells whether a host may get this API call added. Under pressure traffic beyond an allowance
+// bears tells whether a host may get this request added. Under pressure traffic beyond an allowance
 // stops at half of what the host bears, and cheap products a little before dear ones.
 func (b *Balancer) bears(h *cache, c *call) bool {
 	n, now := h.limit*b.portion(c), b.host.Now()
@@ -51,7 +51,7 @@
 	return now >= h.restUntil && float64(h.out+1) <= max(1, n)
 }
 
-// portion is the part of a limit that is open to this API call.
+// portion is the part of a limit that is open to this request.
 func (b *Balancer) portion(c *call) float64 {
 	if c.above {
 		return 0.5
--- a/policy/fairness.go
+++ b/policy/fairness.go
@@ -8,7 +8,7 @@
 
 // Fairness: customers are held to their allowances where requests find no room.
 
-// pressed notes that an API call within its allowance found no room: more of what lies beyond one is then
+// pressed notes that a request within its allowance found no room: more of what lies beyond one is then
 // rate-limited on arrival, less again as calls find room; it settles where about one in twenty finds none.
 func (b *Balancer) pressed(c *call) {
 	if !c.above {
--- a/policy/loadreport.go
+++ b/policy/loadreport.go
@@ -26,7 +26,7 @@
 }
 
 // reported takes what a host tells of its load, or else that it kept an attempt for long, since one that
-// answers nothing tells nothing: how long an API call takes there, against others.
+// answers nothing tells nothing: how long a request takes there, against others.
 func (b *Balancer) reported(h *cache, c *call, e Ending) {
 	now := b.host.Now()
 	switch l := e.Load; {
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -82,7 +82,7 @@
 }
 
 // backWithin is when a cache that was put back is used at the latest, by each balancer at its own moment:
-// with few API calls its budget gives each balancer one in minutes, and nobody could tell that it is back.
+// with few requests its budget gives each balancer one in minutes, and nobody could tell that it is back.
 const backWithin = 4 * Second
 
 // returned is a cache that was put back by hand and is due to be used.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,4 @@
-// Package policy decides where each API call goes. A Balancer is made by New with the Terms of its
+// Package policy decides where each request goes. A Balancer is made by New with the Terms of its
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
 // Streaming, Abandoned, Woke), and it acts by calling the Host it was made with, declared in types.go.
 // It is not safe for concurrent use, keeps no clock and shares nothing.
@@ -22,7 +22,7 @@
 	return b
 }
 
-// Arrived takes an API call; from here on it is owed one final answer.
+// Arrived takes a request; from here on it is owed one final answer.
 func (b *Balancer) Arrived(in Call) {
 	now := b.host.Now()
 	if in.Key == "" {
@@ -89,7 +89,7 @@
 	}
 }
 
-// giveUp ends an API call that gets no answer: at once, so that the client can act.
+// giveUp ends a request that gets no answer: at once, so that the client can act.
 func (b *Balancer) giveUp(c *call) {
 	if b.mayRateLimit(c) {
 		b.host.RateLimit(c.ID, b.comeBack(c))
@@ -108,7 +108,7 @@
 	return min(b.terms.MaxComeBack, Nanos(float64(left)*(0.3+0.4*b.chance())))
 }
 
-// finish forgets an API call once all of its attempts have ended; until then they still teach.
+// finish forgets a request once all of its attempts have ended; until then they still teach.
 func (b *Balancer) finish(c *call) {
 	if !c.over {
 		c.over = true
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -356,7 +356,7 @@
 		}
 	case "call":
 		s.arrive(CallID(w[1]), o, w[2])
-	case "flood": // flood N: so many API calls, each for a key of its own or all for key=
+	case "flood": // flood N: so many requests, each for a key of its own or all for key=
 		n, _ := strconv.Atoi(w[1])
 		s.counts = map[string]int{}
 		for i := range n {
--- a/policy/sizes_test.go
+++ b/policy/sizes_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// What one API call costs, from its arrival to its one answer.
+// What one request costs, from its arrival to its one answer.
 func BenchmarkCall(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -35,7 +35,7 @@
 	return t >= 1 || b.chance() < t
 }
 
-// coldSafety halves the guess: API calls differ in work, and warm hosts may have done more than their share.
+// coldSafety halves the guess: requests differ in work, and warm hosts may have done more than their share.
 const coldSafety = 0.5
 
 // coldRate guesses what a cold host may get, from what the fleet does for a unit of size, taken as it was
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,7 +50,7 @@
 	onRing               bool
 	out                  int // this balancer's attempts that have not ended
 	busySince, lastEnded Nanos
-	held                 float64 // API calls a core, as listed
+	held                 float64 // Requests a core, as listed
 	limit                float64 // attempts out that it is seen to bear
 	cutAt                Nanos
 	well, badAt          int // good endings, and how many there were at the last bad one
@@ -59,11 +59,11 @@
 	absentUntil          Nanos // refused a connection: asked only where no other is left
 	health               meter
 	back                 Nanos   // put back by hand: what was known of it before holds no more
-	told                 float64 // by its last report: how long a further API call would take there
+	told                 float64 // by its last report: how long a further request would take there
 	toldAt               Nanos
 	took                 float64 // seconds, by the attempt that ended last
 	owed                 Nanos   // put back by hand and not used since: it is, once this has come
-	budget               float64 // API calls that it may still get while cold
+	budget               float64 // Requests that it may still get while cold
 	budgetAt             Nanos
 	delay                meter   // of its attempts beyond calm times, in parts of their SLOs
 	saidGood, saidBad    float64 // endings that it is worth what other balancers say of it
@@ -164,7 +164,7 @@
 	}
 }
 
-// allowance is a customer's bucket of API calls and its lately seen rate.
+// allowance is a customer's bucket of requests and its lately seen rate.
 type allowance struct {
 	tokens float64
 	at     Nanos
@@ -259,7 +259,7 @@
 	return l
 }
 
-// TakeOver takes it, after the list and before the first API call. How attempts at a host ended means the same to any
+// TakeOver takes it, after the list and before the first request. How attempts at a host ended means the same to any
 // balancer, as long as the same process runs there. Bounds are parts of what all may have out: among another number
 // of balancers they are learnt afresh.
 func (b *Balancer) TakeOver(l Learnt) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -9,9 +9,9 @@
 )
 
 type (
-	CallID   string // one API call; a client's next try has a new one
+	CallID   string // one request; a client's next try has a new one
 	CacheID  string // a cache host, or the origin where it is listed
-	Key      string // what an API call is about; empty if it names nothing
+	Key      string // what a request is about; empty if it names nothing
 	WakeID   string // handed to Host.Wake and back to Balancer.Wake
 	Product  int    // index in Terms.Products
 	Customer int    // index in Terms.Customers
@@ -58,7 +58,7 @@
 	NonIdempotent
 )
 
-// Group names the cache hosts that drop repeats of a deduplicated API call.
+// Group names the cache hosts that drop repeats of a deduplicated request.
 type Group int
 
 const (
@@ -96,7 +96,7 @@
 	Started   Nanos // the same on the clock of Host.Now; 0: the list has that clock
 }
 
-// Call is an API call as it reaches the balancer.
+// Call is a request as it reaches the balancer.
 type Call struct {
 	ID       CallID
 	Customer Customer
@@ -110,16 +110,16 @@
 
 // Load is what a cache host tells of itself, late and not exactly. A value that it does not tell is under zero.
 type Load struct {
-	InHand float64 // API calls
+	InHand float64 // Requests
 	Busy   float64 // share of its cores
-	Took   float64 // seconds that an API call took lately, without waiting
+	Took   float64 // seconds that a request took lately, without waiting
 }
 
 // Ending is the outcome of one attempt.
 type Ending struct {
 	Call    CallID
 	Attempt int
-	Final   bool // the API call is over
+	Final   bool // the request is over
 	Outcome Outcome
 	Took    Nanos
 	Cache   CacheID
@@ -160,6 +160,6 @@
 	AskEvery      Nanos
 	KeepAlive     Nanos // an idle connection lasts so long; 0: not told
 	Tick          Nanos
-	CrossPrice    float64 // for an attempt that crosses zones, as a part of an API call's billed value
+	CrossPrice    float64 // for an attempt that crosses zones, as a part of a request's billed value
 	FetchPrice    float64 // for a fetch from the origin, likewise
 }
