--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -128,7 +128,7 @@
 // out has a connection make room.
 func (cs *clients) out(c *client) {
 	c.outOfRoom.Store(true)
-	c.wake()
+	c.interrupt()
 	cs.uncount(c)
 }
 
@@ -215,14 +215,14 @@
 	return len(cs.all)
 }
 
-// endIdle wakes the readers of all connections: those between requests close. One that has carried none yet
+// endIdle interrupts the readers of all connections: those between requests close. One that has carried none yet
 // was opened for one that is on its way, and is given a moment.
 func (cs *clients) endIdle() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.all {
 		if c.used.Load() {
-			c.wake()
+			c.interrupt()
 		} else {
 			c.net.SetReadDeadline(time.Now().Add(fresh))
 		}
@@ -235,7 +235,7 @@
 	defer cs.mu.Unlock()
 	for c := range cs.all {
 		c.over.Store(true)
-		c.wake()
+		c.interrupt()
 	}
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -48,7 +48,7 @@
 	mu     sync.Mutex
 	module *policy.Balancer
 	now    policy.Nanos // fixed for the thing that happens
-	wakes  wakes
+	timers timerWheel
 	calls  map[policy.CallID]*call
 	ids    map[string]struct{} // those that clients gave their requests in hand
 	taken  uint64
@@ -101,7 +101,7 @@
 	b.limit(b.whole)
 	debug.SetMemoryLimit(b.memory())
 	b.upgrade.answers = make(chan handover.Message, 4)
-	b.wakes.armed = never
+	b.timers.armedFor = never
 	b.running, b.end = context.WithCancel(context.Background())
 	b.listening = b.epoch
 	b.stalls = stall.New(b.epoch)
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -240,6 +240,6 @@
 	}
 }
 
-func (h host) Wake(after policy.Nanos, id policy.WakeID) {
-	h.b.wakeAt(h.b.now+after, id)
+func (h host) SetTimer(after policy.Nanos, id policy.TimerID) {
+	h.b.setTimer(h.b.now+after, id)
 }
--- a/internal/balancer/ends.go
+++ b/internal/balancer/ends.go
@@ -190,5 +190,5 @@
 	if t, ok := c.net.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	c.wake()
+	c.interrupt()
 }
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -75,8 +75,8 @@
 	return c.opened.Add(time.Duration(since - 1)), since != 0
 }
 
-// wake ends the wait for the next command. A command that has begun to come is still read.
-func (c *client) wake() {
+// interrupt ends the wait for the next command. A command that has begun to come is still read.
+func (c *client) interrupt() {
 	if !c.ended.Load() { // else its end would be cut short
 		c.net.SetReadDeadline(longAgo)
 	}
@@ -159,7 +159,7 @@
 	}
 	c.within.Store(false)
 	c.awaits(b.in())
-	c.rests() // after that: who wakes a connection at rest must not be overruled
+	c.rests() // after that: who interrupts a connection at rest must not be overruled
 	if b.in() >= Draining {
 		c.awaits(Draining)
 	}
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -43,7 +43,7 @@
 func TestLastLook(t *testing.T) {
 	b, c, peer := stand(t)
 	io.WriteString(peer, "mn\r\n")
-	c.wake()
+	c.interrupt()
 	if !b.command(c) {
 		t.Fatal("closed with a command unread")
 	}
--- a/internal/balancer/settings_test.go
+++ b/internal/balancer/settings_test.go
@@ -92,7 +92,7 @@
 					b.module.Arrived(policy.Call{ID: policy.CallID(fmt.Sprint(i, "-", p)), Key: policy.Key(fmt.Sprint(i)), Product: policy.Product(p),
 						Write: p > 0, Deadline: b.now + policy.Second})
 				}
-				b.module.Woke("beat")
+				b.module.TimerFired("beat")
 			})
 		}
 		if told.ConnectTimeout <= 0 || told.ClientTimeout <= 0 || told.IdleLimit < 0 || told.DrainGrace < 0 || told.MostOpen <= 0 ||
--- a/internal/benchwire/link.go
+++ b/internal/benchwire/link.go
@@ -123,7 +123,7 @@
 	case "ABANDONED":
 		b.Abandoned(policy.CallID(f.must(2)))
 	case "TIMER":
-		b.Woke(policy.WakeID(f.must(2)))
+		b.TimerFired(policy.TimerID(f.must(2)))
 	case "STREAMING":
 		b.Streaming(policy.CallID(f.must(2)))
 	case "CHECKED", "WHISPER": // nothing here probes or talks to other balancers
@@ -185,6 +185,6 @@
 }
 func (in *instance) Error(c policy.CallID) { in.write("FAIL", string(c)) }
 func (in *instance) Subscribe()            { in.write("STREAM_CHANGES", "1") }
-func (in *instance) Wake(after policy.Nanos, id policy.WakeID) {
+func (in *instance) SetTimer(after policy.Nanos, id policy.TimerID) {
 	in.write("SLEEP", whole(after), string(id))
 }
--- a/internal/rehearsal/virtual/balancer.go
+++ b/internal/rehearsal/virtual/balancer.go
@@ -245,10 +245,10 @@
 
 func (h host) Subscribe() {}
 
-func (h host) Wake(after policy.Nanos, id policy.WakeID) {
+func (h host) SetTimer(after policy.Nanos, id policy.TimerID) {
 	h.b.d.after(time.Duration(after), func() {
 		if h.b.mod != nil && h.b.lives == h.lives {
-			h.b.awake(func() { h.b.mod.Woke(id) }, nil)
+			h.b.awake(func() { h.b.mod.TimerFired(id) }, nil)
 		}
 	})
 }
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -81,10 +81,10 @@
 }
 
 func (s *coldSide) Now() Nanos { return s.now }
-func (s *coldSide) Wake(after Nanos, id WakeID) {
+func (s *coldSide) SetTimer(after Nanos, id TimerID) {
 	s.later(s.now+after, func() {
 		if !s.gone {
-			s.b.Woke(id)
+			s.b.TimerFired(id)
 		}
 	})
 }
--- a/policy/discovery_test.go
+++ b/policy/discovery_test.go
@@ -38,9 +38,9 @@
 }
 
 func (a *asker) Now() Nanos { return a.now }
-func (a *asker) Wake(after Nanos, id WakeID) {
+func (a *asker) SetTimer(after Nanos, id TimerID) {
 	if id == "list" {
-		a.later(a.now+after, func() { a.b.Woke(id) })
+		a.later(a.now+after, func() { a.b.TimerFired(id) })
 	}
 }
 
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -121,7 +121,7 @@
 	if !atOnce {
 		wait = Nanos(float64(min(b.terms.AskEvery/2, againWithin)) * b.chance())
 	}
-	b.host.Wake(wait, "list")
+	b.host.SetTimer(wait, "list")
 }
 
 // againWithin is of the six seconds after which news counts as told once discovery can be reached, whatever
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy decides where each request goes. A Balancer is made by New with the Terms of its
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
-// Streaming, Abandoned, Woke), and it acts by calling the Host it was made with, declared in types.go.
+// Streaming, Abandoned, TimerFired), and it acts by calling the Host it was made with, declared in types.go.
 // It is not safe for concurrent use, keeps no clock and shares nothing.
 // Reading order: policy.go, the life of a request; routing.go and replication.go, where it goes; retry.go, what may be
 // sent again; origin.go; slowstart.go, health.go, concurrency.go, fairness.go, loadreport.go, what a host and the
@@ -18,7 +18,7 @@
 		b.topValue = max(b.topValue, p.BilledValue)
 		b.tempos[2*i].width, b.tempos[2*i+1].width = calmSlot, calmSlot
 	}
-	host.Wake(beatEvery, "beat")
+	host.SetTimer(beatEvery, "beat")
 	return b
 }
 
@@ -29,8 +29,8 @@
 		in.Key = Key(in.ID)
 	}
 	c := &call{Call: in, terms: &b.terms.Products[in.Product], began: now}
-	// Two ticks before the client leaves: a wake comes up to one tick late, and its answer must still count.
-	b.host.Wake(max(0, in.Deadline-now-2*b.terms.Tick), WakeID("e"+in.ID))
+	// Two ticks before the client leaves: a timer fires up to one tick late, and its answer must still count.
+	b.host.SetTimer(max(0, in.Deadline-now-2*b.terms.Tick), TimerID("e"+in.ID))
 	b.calls[in.ID] = c
 	b.count(c)
 	c.above = b.beyondAllowance(c)
@@ -141,15 +141,15 @@
 func (b *Balancer) Came(id CallID, deadline Nanos) {
 	if c := b.calls[id]; c != nil && !c.over {
 		c.Deadline = deadline
-		b.host.Wake(max(0, deadline-b.host.Now()-2*b.terms.Tick), WakeID("e"+id))
+		b.host.SetTimer(max(0, deadline-b.host.Now()-2*b.terms.Tick), TimerID("e"+id))
 	}
 }
 
-// Woke gets back what Host.Wake was given.
-func (b *Balancer) Woke(id WakeID) {
+// TimerFired gets back what Host.SetTimer was given.
+func (b *Balancer) TimerFired(id TimerID) {
 	switch id {
 	case "beat":
-		b.host.Wake(beatEvery, "beat")
+		b.host.SetTimer(beatEvery, "beat")
 		b.weigh()
 		if slot := int(b.host.Now() / keySlot % keySlots); slot != b.table.slot {
 			b.rotate(slot)
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -74,7 +74,7 @@
 	perS   float64 // what it can do when warm; 0: not stated
 }
 
-// stage is the host of one balancer: it records, plays wakes and answers, and keeps the rules by itself.
+// stage is the host of one balancer: it records, plays timers and answers, and keeps the rules by itself.
 type stage struct {
 	*testing.T
 	terms    Terms
@@ -111,9 +111,9 @@
 	s.now = at
 }
 
-func (s *stage) Now() Nanos                  { return s.now }
-func (s *stage) Subscribe()                  { s.act("subscribe") }
-func (s *stage) Wake(after Nanos, id WakeID) { s.later(after, func() { s.b.Woke(id) }) }
+func (s *stage) Now() Nanos                       { return s.now }
+func (s *stage) Subscribe()                       { s.act("subscribe") }
+func (s *stage) SetTimer(after Nanos, id TimerID) { s.later(after, func() { s.b.TimerFired(id) }) }
 func (s *stage) Cancel(id CallID, n int) {
 	s.act("cancel %s %d", id, n)
 	d := s.owed[id]
--- a/policy/sizes_test.go
+++ b/policy/sizes_test.go
@@ -14,7 +14,7 @@
 func (s *still) RateLimit(CallID, Nanos)            {}
 func (s *still) Error(CallID)                       {}
 func (s *still) Subscribe()                         {}
-func (s *still) Wake(after Nanos, id WakeID)        {}
+func (s *still) SetTimer(after Nanos, id TimerID)   {}
 func entries(n, from int, up Condition) (all []Entry) {
 	for i := range n {
 		all = append(all, Entry{Cache: CacheID(fmt.Sprint("s-", from+i)), Condition: up, Size: 1})
--- a/policy/types.go
+++ b/policy/types.go
@@ -12,7 +12,7 @@
 	CallID   string // one request; a client's next try has a new one
 	CacheID  string // a cache host, or the origin where it is listed
 	Key      string // what a request is about; empty if it names nothing
-	WakeID   string // handed to Host.Wake and back to Balancer.Wake
+	TimerID  string // handed to Host.SetTimer and back to Balancer.SetTimer
 	Product  int    // index in Terms.Products
 	Customer int    // index in Terms.Customers
 	Zone     int
@@ -30,7 +30,7 @@
 	RateLimit(call CallID, comeBack Nanos) // final; promises that a retry is harmless
 	Error(call CallID)                     // final; promises nothing
 	Subscribe()
-	Wake(after Nanos, id WakeID)
+	SetTimer(after Nanos, id TimerID)
 }
 
 // Outcome is how an attempt ended.
