--- a/cmd/streamrail/deadline_test.go
+++ b/cmd/streamrail/deadline_test.go
@@ -60,7 +60,7 @@
 }
 
 // TestStoppedProcesses stops several processes again and again, for 0.1 to 2 s, while clients write on: servers are told no more
-// than is left, whether a request came before a stop, within it or had its first attempt over before.
+// than is left, whether a request came before a stop, within it or had its first attempt over before. One process is killed each time.
 func TestStoppedProcesses(t *testing.T) {
 	t.Parallel()
 	const (
@@ -114,9 +114,10 @@
 		hosts = append(hosts, newHost(t, "h"+strconv.Itoa(i), answer))
 	}
 	var fleet []*running
+	var lists []*list
 	for range processes {
-		p, _ := start(t, nil, origin, hosts...)
-		fleet = append(fleet, p)
+		p, d := start(t, nil, origin, hosts...)
+		fleet, lists = append(fleet, p), append(lists, d)
 	}
 	var clients sync.WaitGroup
 	for stop := range stops {
@@ -138,7 +139,14 @@
 				p.Process.Signal(syscall.SIGCONT)
 			})
 		}
+		killed := stop % processes
+		clients.Go(func() { // one of them in the middle of its work; it starts again under its address
+			time.Sleep(600 * time.Millisecond)
+			fleet[killed].Process.Kill()
+		})
 		clients.Wait()
+		fleet[killed].exit(t)
+		fleet[killed] = serving(t, config(lists[killed], fleet[killed].addr, nil))
 	}
 	worst, beyond := told.beyond()
 	// A stop that falls between the reading of the clock and the write, some microseconds of a second, cannot be made up for.
