Ask sockets and spread waits by one piece of code each, as found in a second reading

- Two polls without a wait, of the listener and of a client, and twice the way to a connection's socket: rawOf, pollNow (poll.go).
- The spread of a wait before a retry stood in follow.go and bans.go: spread.
- A long write's deadline was noted at the call too, where nothing reads it; it stands in upload.Deadline alone.
- Starts of hosts were placed after the entries were copied, and copied again in a second loop: they are placed first.
- Two constants were called heldUp, 0.15 s for decisions and 0.2 s for writes to a host that leaves: the second is graceReserve.
- Trailing comments that began with a capital after a rename.

Behaviour stays; the tests of balancer and upstream pass, lint is clean. Left as they are: imports that test files share, and the servers of the deadline tests beside those of the endings, which answer by draw and not by name.

--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -671,7 +671,7 @@
 	cfg := config(old, freeAddr(t), nil)
 	p := serving(t, cfg, "GW_DISCOVERY="+addr(old.Server))
 	stop, answers := make(chan struct{}), make(chan string, 1)
-	go func() { // Requests all the while
+	go func() { // requests all the while
 		c := p.dial(t)
 		for n := 0; ; n++ {
 			id := fmt.Sprint("r", n)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -290,7 +290,7 @@
 type Figures struct {
 	Products []Product
 	Attempts int64  // written whole
-	InHand   int64  // Requests
+	InHand   int64  // requests
 	Listed   int    // cache hosts
 	Avoided  int    // of those
 	Fleet    *Fleet // nil where it speaks with no other balancer
--- a/internal/admin/members.go
+++ b/internal/admin/members.go
@@ -90,7 +90,7 @@
 // Limit is one bound. Parts are of the whole.
 type Limit struct {
 	Name     string  `json:"name"`
-	Bound    float64 `json:"bound"` // Requests a second, for all balancers
+	Bound    float64 `json:"bound"` // requests a second, for all balancers
 	Part     float64 `json:"part"`  // that may be used here now
 	Lent     float64 `json:"lent"`
 	Borrowed float64 `json:"borrowed"`
--- a/internal/balancer/accept_queue.go
+++ b/internal/balancer/accept_queue.go
@@ -21,11 +21,7 @@
 
 // newAcceptQueue watches the queue of a listener that was opened at a moment.
 func newAcceptQueue(listener net.Listener, stalls *stall.Detector, opened time.Time) *acceptQueue {
-	q := &acceptQueue{stalls: stalls, emptyAt: opened}
-	if socket, ok := listener.(syscall.Conn); ok {
-		q.raw, _ = socket.SyscallConn()
-	}
-	return q
+	return &acceptQueue{raw: rawOf(listener), stalls: stalls, emptyAt: opened}
 }
 
 // accepts is called before an accept.
@@ -34,12 +30,8 @@
 	if q.raw == nil {
 		return
 	}
-	q.waiting = false
-	q.raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(state, 0)
-		q.waiting = err != nil || n > 0
-	})
+	standing, err := pollNow(q.raw, unix.POLLIN)
+	q.waiting = err != nil || standing != 0
 }
 
 // accepted is called after it, and tells when the connection may have come at the earliest.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -57,7 +57,7 @@
 	rested     chan *call   // is read by goroutines that rest between calls
 	resting    atomic.Int64 // are so many
 	whole      holds        // what a balancer may hold
-	open       atomic.Int64 // Requests in hand
+	open       atomic.Int64 // requests in hand
 	mostInHand atomic.Int64
 	held       atomic.Int64 // bytes of values in hand
 	mostHeld   atomic.Int64
@@ -114,13 +114,13 @@
 	return b
 }
 
-// heldUp is for how long the process may be held up between a look at the clock and the write that follows, and some more for
+// graceReserve is for how long the process may be held up between a look at the clock and the write that follows, and some more for
 // goroutines that are late.
-const heldUp = 200 * time.Millisecond
+const graceReserve = 200 * time.Millisecond
 
 // usableGrace is the part of a drain's grace after which no write may begin: whatever holds it up then, it comes within the whole.
 func usableGrace(grace time.Duration) time.Duration {
-	return grace - min(max(heldUp, grace/10), grace/2)
+	return grace - min(max(graceReserve, grace/10), grace/2)
 }
 
 // beat tells the stall detector that the process runs.
--- a/internal/balancer/bans.go
+++ b/internal/balancer/bans.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -44,7 +43,7 @@
 func (b *Balancer) retryBans() {
 	for wait := firstSaveWait; ; wait = min(2*wait, lastSaveWait) {
 		select {
-		case <-time.After(time.Duration(float64(wait) * (0.5 + rand.Float64()/2))):
+		case <-time.After(spread(wait)):
 		case <-b.running.Done():
 			return
 		}
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -22,7 +22,7 @@
 	product  policy.Product
 	customer policy.Customer
 	arrived  time.Time         // its last byte, or the head of a long write
-	deadline deadline.Deadline // of the client; of a long write fixed by its reader, once its last byte has arrived
+	deadline deadline.Deadline // of the client; a long write's is upload.Deadline, once its last byte has arrived
 	id       policy.CallID     // of our own: no two requests in hand share one, whatever clients send
 	turn     chan struct{}     // closed when the commands before it are answered
 	answered chan struct{}     // closed when this one is
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -22,7 +22,7 @@
 type figures struct {
 	names  []string // by product
 	finals [][errored + 1]atomic.Int64
-	inHand atomic.Int64 // Requests taken and neither answered nor abandoned
+	inHand atomic.Int64 // requests taken and neither answered nor abandoned
 }
 
 func newFigures(told *deployment.Deployment) *figures {
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -44,6 +44,7 @@
 var conditionNames = [...]string{"up", "draining", "gone"}
 
 func (b *Balancer) listed(kind policy.ListKind, l discovery.List) {
+	b.decide(func() { b.starts.place(l, b.now, kind != policy.ListUpdate) })
 	entries := make([]policy.Entry, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
 		entries = append(entries, h.Entry)
@@ -54,14 +55,15 @@
 	if len(l.Hosts) > 0 || kind != policy.ListRestored {
 		b.knows.Store(true)
 	}
-	b.decide(func() { b.starts.place(l, b.now, kind != policy.ListUpdate) })
-	for i := range entries {
-		entries[i].Started = l.Hosts[i].Started
-	}
 	b.hosts.Listed(l) // first, so that a host which the module knows can be sent to
 	b.decide(func() { b.module.Listed(kind, entries) })
 }
 
+// spread draws a wait from half of it on, lest all balancers try again together.
+func spread(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * (0.5 + rand.Float64()/2))
+}
+
 // source is where the list comes from.
 type source struct {
 	mu    sync.Mutex // also held while a list is handed on: once an address is left, nothing is heard of it
@@ -143,7 +145,7 @@
 			b.decide(func() { b.module.Listed(policy.ListUnavailable, nil) })
 			continue
 		}
-		wait := time.Duration(float64(lag) * (0.5 + rand.Float64()/2)) // spread, lest all balancers call together
+		wait := spread(lag)
 		lag = min(2*lag, b.pace.Last)
 		select {
 		case <-time.After(wait):
--- a/internal/balancer/limits.go
+++ b/internal/balancer/limits.go
@@ -24,7 +24,7 @@
 	grains  []float64
 	floors  []float64
 	tenants int            // so many are allowances
-	came    []atomic.Int64 // Requests of each customer since the last turn
+	came    []atomic.Int64 // requests of each customer since the last turn
 	ends    atomic.Int64   // by the parts' clock: some part changes by itself then
 
 	mu      sync.Mutex
--- /dev/null
+++ b/internal/balancer/poll.go
@@ -0,0 +1,33 @@
+package balancer
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// rawOf gives access to the system's socket behind a connection or a listener; nil where there is none.
+func rawOf(socket any) syscall.RawConn {
+	conn, ok := socket.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// pollNow asks the system which of some events stand at a socket, without a wait. An error tells that it does not know.
+func pollNow(raw syscall.RawConn, events int16) (standing int16, err error) {
+	failed := raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		_, err = unix.Poll(state, 0)
+		standing = state[0].Revents
+	})
+	if failed != nil {
+		return 0, failed
+	}
+	return standing, err
+}
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -47,7 +47,7 @@
 const (
 	commandWait = 2500 * time.Millisecond // for the whole of a command
 	firstWait   = 2500 * time.Millisecond // for the first one, from when the connection was opened
-	mostBehind  = 32                      // Requests of one connection in hand
+	mostBehind  = 32                      // requests of one connection in hand
 )
 
 // newClient serves a connection on which nothing had arrived at a moment.
--- a/internal/balancer/receiver.go
+++ b/internal/balancer/receiver.go
@@ -38,11 +38,8 @@
 
 // newReceiver reads from a connection on which nothing had arrived at a moment.
 func newReceiver(conn net.Conn, stalls *stall.Detector, emptyAt time.Time) *receiver {
-	r := &receiver{conn: conn, stalls: stalls, since: emptyAt}
+	r := &receiver{conn: conn, raw: rawOf(conn), stalls: stalls, since: emptyAt}
 	r.try = r.tryRead
-	if socket, ok := conn.(syscall.Conn); ok {
-		r.raw, _ = socket.SyscallConn()
-	}
 	return r
 }
 
@@ -106,16 +103,12 @@
 }
 
 // ended asks the system whether the client has ended its sending, or the connection, also where bytes before that are unread.
-func (r *receiver) ended() (ended bool) {
+func (r *receiver) ended() bool {
 	if r.raw == nil {
 		return false
 	}
-	r.raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(state, 0)
-		ended = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP) != 0
-	})
-	return ended
+	standing, err := pollNow(r.raw, unix.POLLRDHUP)
+	return err == nil && standing&(unix.POLLRDHUP|unix.POLLHUP) != 0
 }
 
 func (r *receiver) prepare(p []byte) { r.into, r.n, r.err, r.waited = p, 0, nil, false }
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -104,8 +104,7 @@
 	}
 	p[0] = end[0]
 	b := u.call.b
-	u.call.deadline = deadline.After(u.call.client.arrival(), u.call.Left)
-	u.Deadline = u.call.deadline.Earlier(wayBack)
+	u.Deadline = deadline.After(u.call.client.arrival(), u.call.Left).Earlier(wayBack)
 	b.decide(func() { b.module.Came(u.call.id, b.nanos(u.Deadline)) })
 	if u.TooLate() {
 		return 0, errTooLate
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -32,7 +32,7 @@
 
 	ConnectTimeout, IdleLimit, DrainGrace time.Duration
 	ClientTimeout                         time.Duration // the longest of all products
-	MostOpen                              int           // Requests in hand
+	MostOpen                              int           // requests in hand
 	Reports                               bool          // answers tell the load of the host that gave them
 
 	settings any // as they stand in the file
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,7 +50,7 @@
 	onRing               bool
 	out                  int // this balancer's attempts that have not ended
 	busySince, lastEnded Nanos
-	held                 float64 // Requests a core, as listed
+	held                 float64 // requests a core, as listed
 	limit                float64 // attempts out that it is seen to bear
 	cutAt                Nanos
 	well, badAt          int // good endings, and how many there were at the last bad one
@@ -63,7 +63,7 @@
 	toldAt               Nanos
 	took                 float64 // seconds, by the attempt that ended last
 	owed                 Nanos   // put back by hand and not used since: it is, once this has come
-	budget               float64 // Requests that it may still get while cold
+	budget               float64 // requests that it may still get while cold
 	budgetAt             Nanos
 	delay                meter   // of its attempts beyond calm times, in parts of their SLOs
 	saidGood, saidBad    float64 // endings that it is worth what other balancers say of it
--- a/policy/types.go
+++ b/policy/types.go
@@ -110,7 +110,7 @@
 
 // Load is what a cache host tells of itself, late and not exactly. A value that it does not tell is under zero.
 type Load struct {
-	InHand float64 // Requests
+	InHand float64 // requests
 	Busy   float64 // share of its cores
 	Took   float64 // seconds that a request took lately, without waiting
 }
