Log and count late answers, and how long one event holds the decisions

Added: a line 'answered late' for each answer written after its request's deadline (twenty between two reports), with the time from its last byte until it was taken up and from then on; 'list applied' with version, size and time; held_ms, waited_ms, late and latest_ms in 'traffic'; app_late_total and app_decisions_held_microseconds_max in the telemetry.

Behaviour is unchanged.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -289,11 +289,14 @@
 // Figures are what the balancer counts since its start, and how things stand.
 type Figures struct {
 	Products []Product
-	Attempts int64  // written whole
-	InHand   int64  // requests
-	Listed   int    // cache hosts
-	Avoided  int    // of those
-	Fleet    *Fleet // nil where it speaks with no other balancer
+	Attempts int64 // written whole
+	InHand   int64 // requests
+	Listed   int   // cache hosts
+	Avoided  int   // of those
+	Late     int64 // answers written after their requests' deadlines
+	// LongestHeld is the longest time for which one event held all decisions.
+	LongestHeld time.Duration
+	Fleet       *Fleet // nil where it speaks with no other balancer
 }
 
 // Product is one with the final answers that its requests were given.
@@ -326,6 +329,8 @@
 		{"app_current", "gauge", f.InHand},
 		{"app_cluster_size", "gauge", int64(f.Listed)},
 		{"app_cluster_unhealthy", "gauge", int64(f.Avoided)},
+		{"app_late_total", "counter", f.Late},
+		{"app_decisions_held_microseconds_max", "gauge", f.LongestHeld.Microseconds()},
 	} {
 		fmt.Fprintf(&to, "# TYPE %s %s\n%s %d\n", one.name, one.kind, one.name, one.n)
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -62,6 +62,7 @@
 	held       atomic.Int64 // bytes of values in hand
 	mostHeld   atomic.Int64
 	tally      tally
+	delays     delays
 	figures    *figures
 	upgrade    upgrade
 	bans       bans
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -22,6 +22,7 @@
 	product  policy.Product
 	customer policy.Customer
 	arrived  time.Time         // its last byte, or the head of a long write
+	begun    time.Time         // its life: it is read and admitted
 	deadline deadline.Deadline // of the client; a long write's is upload.Deadline, once its last byte has arrived
 	id       policy.CallID     // of our own: no two requests in hand share one, whatever clients send
 	turn     chan struct{}     // closed when the commands before it are answered
@@ -60,6 +61,7 @@
 // live is the life of one request, from when it was read to its one final answer and the end of its attempts.
 func (b *Balancer) live(c *call) {
 	defer b.leave(c)
+	c.begun = time.Now()
 	due := c.deadline.Earlier(wayBack)
 	if c.upload != nil { // its time runs from the last byte on, which is still to come
 		due = deadline.After(c.arrived, c.Left+uploadMost)
@@ -163,10 +165,14 @@
 
 // decide lets the module hear of one thing that happened; its orders lie in the calls' mailboxes then.
 func (b *Balancer) decide(hear func()) {
+	asked := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.now = b.nanos(deadline.After(time.Now(), 0))
+	entered := time.Now()
+	b.delays.waited.note(entered.Sub(asked))
+	b.now = b.nanos(deadline.After(entered, 0))
 	hear()
+	b.delays.held.note(time.Since(entered))
 }
 
 // nanos is an instant on the module's clock.
--- a/internal/balancer/figures.go
+++ b/internal/balancer/figures.go
@@ -17,6 +17,8 @@
 	errored
 )
 
+func (f final) String() string { return [...]string{"fulfilled", "rate_limited", "errored"}[f] }
+
 // figures count what clients have seen since the start: an answer counts once it is written whole. One that its client
 // did not wait for counts nowhere.
 type figures struct {
@@ -44,7 +46,8 @@
 
 func (d door) Figures() admin.Figures {
 	f := d.b.figures
-	to := admin.Figures{Attempts: d.b.hosts.Sent(), InHand: f.inHand.Load()}
+	to := admin.Figures{Attempts: d.b.hosts.Sent(), InHand: f.inHand.Load(), Late: d.b.delays.late.Load(),
+		LongestHeld: d.b.delays.held.longest()}
 	for i, name := range f.names {
 		n := &f.finals[i]
 		to.Products = append(to.Products, admin.Product{Name: name, Fulfilled: n[fulfilled].Load(),
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -44,6 +44,7 @@
 var conditionNames = [...]string{"up", "draining", "gone"}
 
 func (b *Balancer) listed(kind policy.ListKind, l discovery.List) {
+	began := time.Now()
 	b.decide(func() { b.starts.place(l, b.now, kind != policy.ListUpdate) })
 	entries := make([]policy.Entry, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
@@ -57,6 +58,8 @@
 	}
 	b.hosts.Listed(l) // first, so that a host which the module knows can be sent to
 	b.decide(func() { b.module.Listed(kind, entries) })
+	b.log.Info().Int64("version", l.Generation).Bool("whole", l.Whole).Int("hosts", len(l.Hosts)).
+		Float64("took_ms", milliseconds(time.Since(began))).Msg("list applied")
 }
 
 // spread draws a wait from half of it on, lest all balancers try again together.
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -45,4 +45,5 @@
 		return
 	}
 	c.b.figures.answered(c.product, as)
+	c.b.noteLate(c, as)
 }
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -61,10 +61,13 @@
 			byOutcome.Int64(outcomeNames[i], n)
 		}
 	}
-	t := &b.tally
+	t, d := &b.tally, &b.delays
+	d.told.Store(0)
 	b.log.Info().Uint64("taken", taken).Int64("fulfilled", t.fulfilled.Load()).
 		Int64("rate_limited", t.rateLimited.Load()).Int64("errored", t.errored.Load()).
 		Int64("abandoned", t.abandoned.Load()).Dict("shots", byOutcome).Int64("in_hand", b.open.Load()).
 		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).
-		Float64("after_told_ms", float64(b.hosts.AfterTold().Microseconds())/1000).Msg("traffic")
+		Float64("after_told_ms", milliseconds(b.hosts.AfterTold())).
+		Float64("held_ms", milliseconds(d.held.recent())).Float64("waited_ms", milliseconds(d.waited.recent())).
+		Int64("late", d.late.Load()).Float64("latest_ms", milliseconds(d.latest.recent())).Msg("traffic")
 }
