Apply changes of the list to the ring at the cost of what changed

One pass of a walk looks at 256 hosts at most.

Ruled out: fewer points a host, which would move homes between versions; a tree, which costs each walk.

--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -64,5 +64,5 @@
 // room tells whether the fleet bears one more. One of hundreds of balancers meets a host too seldom to see it
 // crowded, but sees what became of its last attempts: the limit of all falls where a quarter are not in time.
 func (b *Balancer) room(c *call) bool {
-	return float64(b.attemptsOut)+b.chance() < b.fleetBears*float64(len(b.byID))*b.portion(c)
+	return float64(b.attemptsOut)+b.chance() < b.fleetBears*float64(len(b.available))*b.portion(c)
 }
--- a/policy/health.go
+++ b/policy/health.go
@@ -68,7 +68,7 @@
 	b.adapt(h, slo, good, over, full, sum/(n+4)/crowdedAt)
 	if over || full {
 		b.fleetBears = max(b.least(), b.fleetBears*0.9)
-	} else if good && float64(b.attemptsOut+1) >= b.fleetBears*float64(len(b.byID))/2 {
+	} else if good && float64(b.attemptsOut+1) >= b.fleetBears*float64(len(b.available))/2 {
 		b.fleetBears = min(mostOut, b.fleetBears*1.03)
 	}
 	h.health.tell(now, good, bad)
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -4,8 +4,33 @@
 
 // Membership: the list of hosts, and those that operators took out by hand.
 
-// Listed takes what discovery tells.
+// Listed takes what discovery tells, in one piece. It costs as much as the list is long: a caller that must not be held for
+// that long calls ListBegins, then Changed for a few entries at a time.
 func (b *Balancer) Listed(kind ListKind, entries []Entry) {
+	b.ListBegins(kind, entries)
+	if kind == ListUnavailable {
+		return
+	}
+	b.Changed(entries)
+	if kind == ListUpdate {
+		return
+	}
+	named := make(map[CacheID]bool, len(entries))
+	for _, e := range entries {
+		named[e.Cache] = true
+	}
+	for id, h := range b.caches {
+		if !named[id] {
+			h.Condition = Gone
+			b.settle(h)
+			b.forget(h)
+		}
+	}
+}
+
+// ListBegins hears that a list comes, or that none does, and takes what follows from the list as a whole. Its entries follow by
+// Changed, in any order and in pieces of any size; a cache that a whole list does not name any more follows as gone.
+func (b *Balancer) ListBegins(kind ListKind, entries []Entry) {
 	switch kind {
 	case ListUnavailable:
 		b.follow(false)
@@ -13,35 +38,71 @@
 	case ListRestored:
 		b.follow(len(entries) == 0)
 	}
-	named := map[CacheID]bool{}
-	changed, origin := kind != ListUpdate, b.origin
 	if b.unit == 0 {
 		b.unitOf(entries)
 	}
-	for _, e := range entries {
-		named[e.Cache] = true
-		changed = b.note(e) || changed
-	}
-	for id, h := range b.caches {
-		if kind != ListUpdate && !named[id] {
-			h.Condition = Gone
+	if kind != ListUpdate {
+		b.listed = 0
+		for i := range entries {
+			if entries[i].Condition == Up && entries[i].Kind != b.terms.OriginKind {
+				b.listed++
+			}
 		}
-		b.forget(h)
 	}
-	if changed {
-		b.rebuild()
+}
+
+// Changed takes entries of the list. It costs by their number alone.
+func (b *Balancer) Changed(entries []Entry) {
+	origin := b.origin
+	for _, e := range entries {
+		h := b.note(e)
+		b.settle(h)
+		b.forget(h)
 	}
 	if b.origin != origin {
 		// What a tenth of the caches may have out: at the limit of a single one a balancer that had just started
 		// turned away misses that all others sent on.
-		b.origin.limit = b.firstLimit() * max(1, float64(len(b.byID))/10)
+		b.origin.limit = b.firstLimit() * max(1, float64(max(b.listed, len(b.available)))/10)
+	}
+}
+
+// settle puts a cache among those that attempts may go to, or takes it from them, as its condition now is.
+func (b *Balancer) settle(h *cache) {
+	available := h != b.origin && b.up(h) && b.caches[h.Cache] == h
+	switch {
+	case available && h.place == 0:
+		b.available = append(b.available, h)
+		h.place = len(b.available)
+		h.counted = h.weight * b.warmth(h)
+		b.ring.add(h, b.pointsOf(h))
+		b.tallyOf(h, 1)
+	case !available && h.place > 0:
+		last := b.available[len(b.available)-1]
+		b.available[h.place-1], last.place = last, h.place
+		b.available[len(b.available)-1] = nil
+		b.available = b.available[:len(b.available)-1]
+		h.place = 0
+		b.ring.remove(h)
+		b.tallyOf(h, -1)
+	}
+}
+
+// tallyOf adds a cache to the sums over all that are available, or takes it out of them.
+func (b *Balancer) tallyOf(h *cache, sign int) {
+	b.attemptsOut += sign * h.out
+	b.able += float64(sign) * h.counted
+	b.held += float64(sign) * h.held
+	if h.Zone == b.terms.Zone {
+		b.nearby += sign
 	}
-	b.held = 0
-	for _, h := range b.byID {
-		b.held += h.held / float64(len(b.byID))
+	if len(b.available) == 0 { // sums of many parts are not exact
+		b.able, b.held = 0, 0
 	}
 }
 
+// meanHeld is what the available caches hold a core, in the mean, as listed.
+func (b *Balancer) meanHeld() float64 { return max(0, b.held) / float64(max(1, len(b.available))) }
+
 // up tells that a host may be sent to: the list names it so and nobody has taken it out.
 func (b *Balancer) up(h *cache) bool { return h.Condition == Up && !b.out[h.Cache] }
 
@@ -57,7 +118,9 @@
 // Bar is Exclude for what another process has been told, or this one before its start.
 func (b *Balancer) Bar(id CacheID) {
 	b.out[id] = true
-	b.rebuild()
+	if h := b.caches[id]; h != nil {
+		b.settle(h)
+	}
 }
 
 // mostExcluded bounds the caches out by hand: those that no list names any more stay out. Many times a fleet.
@@ -72,12 +135,11 @@
 	delete(b.out, id)
 	if old := b.caches[id]; old != nil {
 		delete(b.caches, id)
-		b.note(old.Entry)
-		h, now := b.caches[id], b.host.Now()
+		h, now := b.note(old.Entry), b.host.Now()
 		h.out, h.busySince, h.lastEnded, h.back = old.out, old.busySince, old.lastEnded, now
 		h.owed, b.owing = now+Nanos(float64(backWithin)*b.chance()), true
+		b.settle(h)
 	}
-	b.rebuild()
 	return known
 }
 
@@ -91,7 +153,7 @@
 		return nil
 	}
 	b.owing = false
-	for _, h := range b.byID {
+	for _, h := range b.available {
 		b.owing = b.owing || h.owed > 0
 		if h.owed > 0 && b.host.Now() >= h.owed {
 			h.budget = max(0, h.budget-1)
@@ -103,7 +165,7 @@
 
 // forget drops a host that is gone once nothing is out there: others come under new ids all day.
 func (b *Balancer) forget(h *cache) {
-	if h.Condition == Gone && h.out == 0 && h != b.origin {
+	if h.Condition == Gone && h.out == 0 && h != b.origin && b.caches[h.Cache] == h {
 		delete(b.caches, h.Cache)
 	}
 }
@@ -143,16 +205,19 @@
 	}
 }
 
-// note takes one entry; it tells whether the ring is touched.
-func (b *Balancer) note(e Entry) bool {
+// note takes one entry.
+func (b *Balancer) note(e Entry) *cache {
 	old := b.caches[e.Cache]
 	if old != nil && (old.Born == e.Born || old == b.origin) {
-		changed := old.Condition != e.Condition
 		old.Condition = e.Condition
 		if size := b.ofKind[e.Kind]; b.terms.LiveSizes && e.Size > 0 && e.Size <= size {
-			old.held = max(size/e.Size-1, 0.6*old.held)
+			held := max(size/e.Size-1, 0.6*old.held)
+			if old.place > 0 {
+				b.held += held - old.held
+			}
+			old.held = held
 		}
-		return changed
+		return old
 	}
 	// A restart under the same name is a new process: cold, and nothing learnt of the old one holds.
 	h := &cache{Entry: e, limit: b.firstLimit(), weight: e.Size}
@@ -170,8 +235,11 @@
 		b.origin = h
 	}
 	b.caches[e.Cache] = h
+	if old != nil {
+		b.settle(old)
+	}
 	if b.zones[e.Zone] == nil {
 		b.zones[e.Zone] = &meter{}
 	}
-	return true
+	return h
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,14 +2,14 @@
 // deployment; from then on one method is called for each thing that happens (Listed, Arrived, Ended,
 // Streaming, Abandoned, TimerFired), and it acts by calling the Host it was made with, declared in types.go.
 // It is not safe for concurrent use, keeps no clock and shares nothing.
-// Reading order: policy.go, the life of a request; routing.go and replication.go, where it goes; retry.go, what may be
+// Reading order: policy.go, the life of a request; routing.go, ring.go and replication.go, where it goes; retry.go, what may be
 // sent again; origin.go; slowstart.go, health.go, concurrency.go, fairness.go, loadreport.go, what a host and the
 // fleet bear; membership.go, the list. What is remembered stands in state.go, meter.go and chance.go.
 package policy
 
 // New makes a balancer that starts with nothing; its list follows by Listed.
 func New(host Host, terms Terms, seed uint64) *Balancer {
-	b := &Balancer{host: host, terms: terms, seed: seed, began: host.Now(), caches: map[CacheID]*cache{},
+	b := &Balancer{host: host, terms: terms, seed: seedHash(seed), began: host.Now(), caches: map[CacheID]*cache{},
 		out: map[CacheID]bool{}, ofKind: map[Kind]float64{}, zones: map[Zone]*meter{}, calls: map[CallID]*call{},
 		table: keyTable{at: map[Key]int{}}, allowances: make([]allowance, len(terms.Customers)),
 		tempos: make([]meter, 2*len(terms.Products)), origin: &cache{limit: mostOut / 4},
@@ -36,7 +36,7 @@
 	c.above = b.beyondAllowance(c)
 	switch {
 	case c.Work > c.terms.LatencySLO && c.terms.OverdueValue == 0,
-		c.above && b.chance() < max(b.squeeze, b.held/4):
+		c.above && b.chance() < max(b.squeeze, b.meanHeld()/4):
 		b.giveUp(c)
 	case b.terms.Aside && c.Write: // caches do not take writes here
 		b.askOrigin(c)
@@ -52,7 +52,7 @@
 	if h != nil {
 		if h.out > 0 {
 			h.out--
-			if h != b.origin && b.up(h) {
+			if h.place > 0 {
 				b.attemptsOut--
 			}
 		}
@@ -63,7 +63,7 @@
 		return
 	}
 	s := &c.attempts[e.Attempt]
-	s.out, s.ran, s.nobody = false, mayHaveRun(e.Outcome), e.Outcome == ConnectFailed
+	s.out, s.ran, s.nobody = false, MayHaveRun(e.Outcome), e.Outcome == ConnectFailed
 	if h != nil && h != b.origin && e.Outcome != NeverSent {
 		b.met.tell(now, !s.nobody, s.nobody)
 		if !s.nobody {
--- a/policy/replication.go
+++ b/policy/replication.go
@@ -20,7 +20,7 @@
 // threshold is the design's, and a second read where a fetch has a price above a crossing's: with few reads
 // the design's is under one, and each zone fetched keys read once. Four hops, not two, crowded popular homes.
 func (b *Balancer) threshold() float64 {
-	t := b.table.reads() / float64(max(1, len(b.byID))) * (across - inZone)
+	t := b.table.reads() / float64(max(1, len(b.available))) * (across - inZone)
 	if b.terms.FetchPrice > b.terms.CrossPrice {
 		t += across - inZone
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -60,8 +60,8 @@
 	return b.chance() < max(0.05, (good+4)/(good+bad+4))
 }
 
-// mayHaveRun: an outcome not known here proves nothing.
-func mayHaveRun(o Outcome) bool {
+// MayHaveRun tells what an outcome proves; one not known here proves nothing.
+func MayHaveRun(o Outcome) bool {
 	return o != TurnedAway && o != ConnectFailed && o != NeverSent && o != Missed
 }
 
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -22,15 +22,15 @@
 // next picks the cache for the next attempt: the nearest copy, else the home, else the successors.
 // A later pass drops a wish, never a bound: cold hosts, limits and hosts already asked stay out.
 func (b *Balancer) next(c *call) *cache {
-	mean := float64(b.attemptsOut) / float64(max(1, len(b.byID)))
+	mean := float64(b.attemptsOut) / float64(max(1, len(b.available)))
 	far := reach + 3*(1-b.squeeze)
 	if h := b.returned(c); h != nil {
 		return h
 	}
 	for pass := range 2 {
-		busy := 0
+		busy, looked := 0, 0
 		for h := range b.path(c) {
-			if float64(busy) > far {
+			if looked++; float64(busy) > far || looked > mostLooked {
 				break
 			}
 			asked := slices.ContainsFunc(c.attempts, func(s attempt) bool { return s.at == h })
@@ -66,23 +66,16 @@
 // in an overload keys spread over all caches and their misses bring the origin down. Of 0 to 6 one did best.
 const reach = 1
 
+// mostLooked bounds the caches that one pass looks at: with thousands of hosts that are all absent or cold a request would
+// look at each of them, to be given up all the same.
+const mostLooked = 256
+
 // points is the number of virtual nodes of a host of nominal size: enough that shares stray by a tenth.
 const points = 100
 
-// rebuild lays the ring anew. It is equal at every balancer, so nothing of the instance enters it.
-func (b *Balancer) rebuild() {
-	b.byID, b.attemptsOut = b.byID[:0], 0
-	for _, h := range b.caches {
-		if h != b.origin && b.up(h) {
-			b.byID = append(b.byID, h)
-			b.attemptsOut += h.out
-		}
-	}
-	slices.SortFunc(b.byID, func(x, y *cache) int { return cmp.Compare(x.Cache, y.Cache) })
-	b.ring.follow(b.byID, func(h *cache) int {
-		return min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
-	})
-	b.weigh()
+// pointsOf is how many a cache has. The ring is equal at every balancer, so nothing of the instance enters it.
+func (b *Balancer) pointsOf(h *cache) int {
+	return min(max(1, int(points*h.weight/b.unit+0.5)), 8*points)
 }
 
 // path is the order in which caches are asked: a read's nearest copy first, then home and successors.
@@ -112,6 +105,8 @@
 		home = cmp.Or(home, h)
 		if h.Zone == b.terms.Zone {
 			candidate = h
+		}
+		if candidate != nil || b.nearby == 0 {
 			break
 		}
 	}
--- a/policy/sizes_test.go
+++ b/policy/sizes_test.go
@@ -22,7 +22,7 @@
 	return all
 }
 
-var sizes = []int{16, 200, 1024}
+var sizes = []int{16, 200, 1024, 3200}
 
 // What a changed list costs: half of the hosts leave and as many come, as within seconds of a release.
 func BenchmarkListed(b *testing.B) {
@@ -37,6 +37,33 @@
 	}
 }
 
+// What the first list costs, and then one that changes a single host.
+func BenchmarkFirstList(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := entries(n, 0, Up)
+			b.ReportAllocs()
+			for b.Loop() {
+				m := New(&still{now: Second}, Terms{Balancers: 350, Products: []ProductTerms{{LatencySLO: Second}}, OriginKind: -1}, 1)
+				m.Listed(ListReplace, list)
+			}
+		})
+	}
+}
+
+func BenchmarkOneReplaced(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := New(&still{now: Second}, Terms{Balancers: 350, Products: []ProductTerms{{LatencySLO: Second}}, OriginKind: -1}, 1)
+			m.Listed(ListReplace, entries(n, 0, Up))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m.Changed(append(entries(1, i, Gone), entries(1, n+i, Up)...))
+			}
+		})
+	}
+}
+
 // What one request costs, from its arrival to its one answer.
 func BenchmarkCall(b *testing.B) {
 	for _, n := range sizes {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -53,10 +53,12 @@
 	return max(coldSafety*b.terms.FallMultiple*w*perS, least)
 }
 
-// weigh sums the sizes of the caches that are up, as far as they are warm.
+// weigh sums the sizes of the caches that are up, as far as they are warm, and what they hold.
 func (b *Balancer) weigh() {
-	b.able = 0
-	for _, h := range b.byID {
-		b.able += h.weight * b.warmth(h)
+	b.able, b.held = 0, 0
+	for _, h := range b.available {
+		h.counted = h.weight * b.warmth(h)
+		b.able += h.counted
+		b.held += h.held
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"maps"
 	"slices"
 )
@@ -13,12 +12,14 @@
 type Balancer struct {
 	host               Host
 	terms              Terms
-	seed, draws        uint64
+	seed               prefixHash
+	draws              uint64
 	caches             map[CacheID]*cache
-	byID               []*cache // the caches that are up, in the order of their ids; never the origin
+	available          []*cache // the caches that are up, in no order; never the origin
+	nearby             int      // of them, in this balancer's zone
 	origin             *cache   // never nil
 	ring               ring
-	attemptsOut        int              // at byID
+	attemptsOut        int              // at available
 	unit               float64          // listed size that gets the nominal number of points
 	ofKind             map[Kind]float64 // stands for the listed size where that follows the load
 	calls              map[CallID]*call
@@ -27,12 +28,13 @@
 	tempos             []meter // by product, in the zone and across: seconds that attempts at caches took, and how many
 	topValue, squeeze  float64
 	began              Nanos
-	able               float64          // sizes of byID, as far as they are warm
+	able               float64          // sizes of available, as far as they are warm
 	pace               meter            // the same of all products
 	all, done, further meter            // attempts at caches, those that were good for a unit of able, further attempts
 	zones              map[Zone]*meter  // as all, by the caches' zones
 	fleetBears         float64          // attempts out at a host that the fleet is seen to bear
-	held               float64          // a core, by the mean of caches, where the list tells
+	held               float64          // a core, summed over available, where the list tells
+	listed             int              // caches that the last whole list named as up
 	out                map[CacheID]bool // taken out by hand, whatever the list says
 	retrying           bool             // a try to follow the list is due
 	owing              bool             // some cache's owed may be set
@@ -46,9 +48,11 @@
 type cache struct {
 	Entry
 	weight               float64
-	place                int // in byID
-	onRing               bool
-	out                  int // this balancer's attempts that have not ended
+	place                int // in Balancer.available, and one; 0: it is not there
+	number               uint32
+	points               int     // on the ring, under that number
+	counted              float64 // its part of Balancer.able
+	out                  int     // this balancer's attempts that have not ended
 	busySince, lastEnded Nanos
 	held                 float64 // requests a core, as listed
 	limit                float64 // attempts out that it is seen to bear
@@ -89,81 +93,6 @@
 	well   int  // good endings there when it was sent
 }
 
-// ring holds the points of the caches that are up, in the order of their hashes.
-type ring struct {
-	points []point
-	hosts  int
-}
-
-type point struct {
-	hash uint64
-	at   *cache
-}
-
-func order(x, y point) int {
-	if c := cmp.Compare(x.hash, y.hash); c != 0 { // the ids compared each time took most of a large list's sorting
-		return c
-	}
-	return cmp.Compare(x.at.Cache, y.at.Cache)
-}
-
-// follow leaves the points of hosts that stay where they are and sorts in new ones only: while hosts are
-// replaced the list changes all the time, at every balancer.
-func (r *ring) follow(hosts []*cache, points func(*cache) int) {
-	for _, p := range r.points {
-		p.at.place = -1
-	}
-	var fresh []point
-	for i, h := range hosts {
-		if !h.onRing {
-			for n := range points(h) {
-				fresh = append(fresh, point{hash(string(h.Cache), uint64(n)), h})
-			}
-		}
-		h.onRing, h.place = true, i
-	}
-	slices.SortFunc(fresh, order)
-	all := make([]point, 0, len(r.points)+len(fresh))
-	for _, p := range r.points {
-		if p.at.onRing = p.at.place >= 0; !p.at.onRing {
-			continue
-		}
-		for len(fresh) > 0 && order(fresh[0], p) < 0 {
-			all, fresh = append(all, fresh[0]), fresh[1:]
-		}
-		all = append(all, p)
-	}
-	r.points, r.hosts = append(all, fresh...), len(hosts)
-}
-
-// home is the first cache from the key on, nil where the ring is empty.
-func (r *ring) home(k Key) *cache {
-	for h := range r.from(k) {
-		return h
-	}
-	return nil
-}
-
-// from meets all caches in the order of the ring, from the key on; the first is its home.
-func (r *ring) from(k Key) iter.Seq[*cache] {
-	return func(yield func(*cache) bool) {
-		i, _ := slices.BinarySearchFunc(r.points, hash(string(k), 0),
-			func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
-		met, left := make([]bool, r.hosts), r.hosts
-		for n := 0; left > 0; n++ {
-			h := r.points[(i+n)%len(r.points)].at
-			if met[h.place] {
-				continue
-			}
-			met[h.place] = true
-			left--
-			if !yield(h) {
-				return
-			}
-		}
-	}
-}
-
 // allowance is a customer's bucket of requests and its lately seen rate.
 type allowance struct {
 	tokens float64
