Open connections at a cost that does not grow with the list of hosts

Tick collected all hosts ten times a second, and with 'ahead' a fleet of cold hosts was summed once for each of them.

Lines: fair, oldest, sorted, wanted in internal/pool/pool.go. Now they go by the connections, which are bounded, and by a count of those at rest; the mean need is worked out once a tick.

Left: with 'ahead' set a tick still sorts all hosts.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -82,6 +83,8 @@
 	waiting map[Attempt]*waiter
 	last    Conn
 	open    int // with those that are being opened
+	resting int // of these, at rest
+	typical typicalNeed
 	shut    bool
 	bound   map[Host]int // how often a bound held since it was last asked
 	part    float64      // of all openings, as told; 0: an equal one
@@ -282,6 +285,7 @@
 	h := c.host
 	if i := slices.Index(h.rest, c); i >= 0 {
 		h.rest = slices.Delete(h.rest, i, i+1)
+		p.resting--
 	}
 	h.fewest = min(h.fewest, len(h.rest))
 }
@@ -350,6 +354,7 @@
 	}
 	c.phase, c.since = atRest, now
 	h.rest = append(h.rest, c)
+	p.resting++
 }
 
 // leave takes an attempt from those that wait. What was being opened for it is for the next that nothing is opened for.
@@ -496,16 +501,23 @@
 }
 
 // sorted are the hosts with which something can happen, in order: what is done to all must not hang on the order of a map. One
-// without a connection, and with none to be opened ahead, costs nothing.
+// without a connection, and with none to be opened ahead, costs nothing, however many there are.
 func (p *Pool) sorted() []Host {
-	ids := make([]Host, 0, min(len(p.hosts), p.open+len(p.waiting)))
-	for id, h := range p.hosts {
-		if h.open > 0 || len(h.queue) > 0 || p.terms.Ahead > 0 {
-			ids = append(ids, id)
+	ids := make([]Host, 0, p.open+len(p.waiting))
+	if p.terms.Ahead > 0 {
+		ids = slices.AppendSeq(ids, maps.Keys(p.hosts))
+	} else {
+		for _, c := range p.conns {
+			if p.hosts[c.host.id] == c.host {
+				ids = append(ids, c.host.id)
+			}
+		}
+		for _, w := range p.waiting {
+			ids = append(ids, w.host.id)
 		}
 	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
 }
 
 // Open is the number of connections, with those being opened.
@@ -593,25 +605,24 @@
 		return true
 	}
 	kept := 0
-	for _, o := range p.hosts {
-		if o != h && !o.leaving {
-			kept += max(0, floor-o.open)
-		}
-	}
-	rest := 0
-	for _, o := range p.hosts {
-		if o != h {
-			rest += len(o.rest)
+	if floor > 0 { // else there are more hosts than half of the places
+		for _, o := range p.hosts {
+			if o != h && !o.leaving {
+				kept += max(0, floor-o.open)
+			}
 		}
 	}
-	return p.open-rest+kept < p.terms.Most
+	return p.open-(p.resting-len(h.rest))+kept < p.terms.Most
 }
 
 // oldest is the connection at rest longest, of any host but one.
 func (p *Pool) oldest(but *host) (c *conn) {
-	for _, h := range p.hosts {
-		if h != but && len(h.rest) > 0 && (c == nil || cmp.Or(cmp.Compare(h.rest[0].since, c.since), cmp.Compare(h.rest[0].id, c.id)) < 0) {
-			c = h.rest[0]
+	if p.resting == len(but.rest) {
+		return nil
+	}
+	for _, o := range p.conns {
+		if o.phase == atRest && o.host != but && (c == nil || cmp.Or(cmp.Compare(o.since, c.since), cmp.Compare(o.id, c.id)) < 0) {
+			c = o
 		}
 	}
 	return c
@@ -727,14 +738,7 @@
 func (p *Pool) wanted(now policy.Nanos, h *host) int {
 	mean := h.need.mean(now)
 	if mean == 0 && h.born > 0 && now-h.born < p.terms.ColdFor {
-		n := 0
-		for _, o := range p.hosts {
-			if o != h && !o.leaving {
-				mean += o.need.mean(now)
-				n++
-			}
-		}
-		mean /= float64(max(1, n))
+		mean = p.typicalNeed(now)
 	}
 	if mean == 0 {
 		return 0
@@ -742,6 +746,28 @@
 	return int(math.Ceil(mean + p.terms.Ahead*math.Sqrt(mean)))
 }
 
+// typicalNeed is the mean need of the hosts that have had attempts or not, worked out once for each time.
+type typicalNeed struct {
+	at   policy.Nanos
+	mean float64
+}
+
+// typicalNeed is asked of hosts that have had no attempt: one more of these hardly moves the mean.
+func (p *Pool) typicalNeed(now policy.Nanos) float64 {
+	if p.typical.at == now {
+		return p.typical.mean
+	}
+	sum, n := 0.0, 0
+	for _, o := range p.hosts {
+		if !o.leaving {
+			sum += o.need.mean(now)
+			n++
+		}
+	}
+	p.typical = typicalNeed{now, sum / float64(max(1, n-1))} // the one that asks is not counted
+	return p.typical.mean
+}
+
 // ahead opens what will be needed, within the budget.
 func (p *Pool) ahead(now policy.Nanos, h *host) {
 	if p.terms.Ahead <= 0 || p.shut || h.leaving {
