Answer each request in its time whatever the list does, and listen only once ready

A: Run opened the clients' address first, then laid the list and asked for the present one; what clients wrote meanwhile counted as taken and waited (internal/balancer/phases.go, listen). B: a list was applied whole under the lock round the decisions, behind one call of the parser, with a log line for each host (follow.go listed, discovery.Names.Parse). C: the final answer at the deadline was a timer of the module and waited for that lock, as did arrivals and ends of attempts (decide.go).

Now: the address is opened once the list is laid and the present one has come, or one second has passed; a process told to end before opens none. Lists are read and applied 32 hosts at a time with a rest after each, what leaves first; a whole list costs by what it changes. Events are posted to the module and never waited for (decisions.go); each request has a timer of its own that answers it, busy where nothing ran, else failed, if no decision has come in its time, and nothing of it is sent after its answer. The log names the hosts of a piece in one line.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -19,7 +19,7 @@
 	s.Done = func(r upstream.Result) { c.ended <- ending{r, n, time.Since(sent) - r.Peer} }
 	c.attempts = append(c.attempts, s)
 	c.out++
-	if c.client.hasLeft() { // since this was decided
+	if c.client.hasLeft() || c.isSettled() { // since this was decided
 		s.GiveUp()
 	}
 	c.b.hosts.Send(s)
@@ -28,8 +28,11 @@
 // freshFor is how long after its arrival a request's client has not left for so long that it matters.
 const freshFor = 50 * time.Millisecond
 
-// clientGone tells whether nobody waits for the call any more, right before an attempt would begin.
+// clientGone tells whether nobody waits for the call any more, since its client has left or it is answered, right before an attempt would begin.
 func (c *call) clientGone() bool {
+	if c.isSettled() {
+		return true
+	}
 	if time.Since(c.arrived) < freshFor {
 		return c.client.hasLeft()
 	}
@@ -37,7 +40,11 @@
 }
 
 // recall gives an attempt up.
-func (c *call) recall(o order) { c.attempts[o.attempt].GiveUp() }
+func (c *call) recall(o order) {
+	if !c.isStreaming() { // the module may not have heard of that yet
+		c.attempts[o.attempt].GiveUp()
+	}
+}
 
 // hold takes memory for a value until the request is left; false where there is no room for it.
 func (c *call) hold(bytes int) bool {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,14 +43,15 @@
 	subscribe chan struct{}
 
 	// mu guards the module, which is not concurrent, and what its orders touch. Nothing is sent, written or
-	// waited for under it.
-	mu     sync.Mutex
+	// waited for under it, and no answer waits for it: events are posted (decisions.go).
+	mu     moduleLock
 	module *policy.Balancer
 	now    policy.Nanos // fixed for the thing that happens
 	timers timerWheel
 	calls  map[policy.CallID]*call
-	ids    map[string]struct{} // those that clients gave their requests in hand
-	taken  uint64
+
+	taken atomic.Uint64
+	ids   claims
 
 	clients    *clients
 	rested     chan *call   // is read by goroutines that rest between calls
@@ -86,13 +86,14 @@
 	epoch := time.Now()
 	epochNanos := policy.Nanos(epoch.UnixNano())
 	b := &Balancer{told: told, log: log, epoch: epoch, epochNanos: epochNanos, changed: make(chan struct{}, 4), rested: make(chan *call),
-		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: map[string]struct{}{},
+		subscribe: make(chan struct{}, 1), calls: map[policy.CallID]*call{}, ids: claims{taken: map[string]struct{}{}},
 		tally:   tally{hosts: map[policy.CacheID]*[2]int64{}},
 		figures: newFigures(told),
 		clients: newClients(told.Sockets / 4),
 		hosts: upstream.New(upstream.Limits{Pool: own.Connections.Terms(pool.Terms{Balancers: told.Terms.Balancers,
 			Most: up, Idle: policy.Nanos(told.IdleLimit)}), Origin: mostToOrigin, Connect: told.ConnectTimeout, Reports: told.Reports,
 			Grace: grace, Epoch: epochNanos}, told.Terms.OriginKind)}
+	b.mu.hear = b.hear
 	b.starts = newStarts(time.Now)
 	b.bans.save = handover.Save
 	b.pace = discovery.PaceOf(grace, !told.Terms.MustSubscribe)
@@ -107,7 +108,7 @@
 	b.listening = b.epoch
 	b.stalls = stall.New(b.epoch)
 	go b.beat()
-	b.source.addr, b.source.first = told.Discovery, make(chan struct{})
+	b.source.addr, b.source.first, b.source.hosts = told.Discovery, make(chan struct{}), map[policy.CacheID]discovery.Host{}
 	b.limits = b.newLimits(own.Connections.Openings)
 	b.orders = b.newOrders()
 	b.witnesses = b.newWitnesses()
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,9 +35,13 @@
 	ended    chan ending
 	nudge    chan struct{} // there are orders
 
-	// Under Balancer.mu.
-	orders  []order
-	settled bool // its one final answer is chosen
+	mayHaveRun bool        // an attempt that has ended may have
+	guard      *time.Timer // fires when its time is over; nil: it has not begun
+
+	mu        sync.Mutex
+	orders    []order
+	settled   bool // its one final answer is chosen
+	streaming bool // that is a long value, which is passed on
 }
 
 type ending struct {
@@ -73,9 +78,10 @@
 	c.ended = make(chan ending, b.told.Terms.MostAttempts+1)
 	c.nudge = make(chan struct{}, 1)
 	b.arrives(c.customer)
-	b.decide(func() {
-		b.taken++
-		c.id = policy.CallID(strconv.FormatUint(b.taken, 36))
+	c.id = policy.CallID(strconv.FormatUint(b.taken.Add(1), 36))
+	c.guards(due)
+	defer c.guard.Stop()
+	b.post(func() {
 		b.calls[c.id] = c
 		b.module.Arrived(policy.Call{ID: c.id, Customer: c.customer, Product: c.product, Key: policy.Key(c.Key),
 			Write: c.Write, Repeat: c.Repeat, Deadline: b.nanos(due)})
@@ -86,7 +92,7 @@
 			gone = nil
 			b.abandon(c)
 		}
-		orders, settled := b.ordersFor(c)
+		orders, settled := c.takeOrders()
 		for _, o := range orders {
 			o.do(c, o)
 		}
@@ -96,36 +102,104 @@
 		select {
 		case e := <-c.ended:
 			c.out--
+			c.mayHaveRun = c.mayHaveRun || policy.MayHaveRun(e.Outcome)
 			b.saw(c, e)
-			won := false
-			b.decide(func() {
-				b.tally.attempt(c.attempts[e.attempt].To, e.Outcome)
-				won = e.Outcome == policy.Fulfilled && !c.settled
-				c.settled = c.settled || won
-				b.module.Ended(policy.Ending{Call: c.id, Attempt: e.attempt, Final: c.settled, Outcome: e.Outcome,
-					Took: policy.Nanos(e.took), Load: e.Load, Cache: c.attempts[e.attempt].To})
-			})
+			won := e.Outcome == policy.Fulfilled && c.settle()
+			b.ended(c, e)
 			if won {
 				b.tally.fulfilled.Add(1)
 				c.fulfil(e.Body)
 			}
+		case <-c.guard.C:
+			b.timesOut(c)
 		case <-gone:
 		case <-c.nudge:
 		}
 	}
 }
 
+// ended lets the module hear how an attempt ended.
+func (b *Balancer) ended(c *call, e ending) {
+	to := c.attempts[e.attempt].To
+	b.post(func() {
+		b.tally.attempt(to, e.Outcome)
+		b.module.Ended(policy.Ending{Call: c.id, Attempt: e.attempt, Final: c.isSettled(), Outcome: e.Outcome,
+			Took: policy.Nanos(e.took), Load: e.Load, Cache: to})
+	})
+}
+
+// guards has the request answered when its time is over, whether or not the module has come to it by then.
+func (c *call) guards(due deadline.Deadline) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard == nil {
+		c.guard = time.NewTimer(due.Remaining())
+	} else {
+		c.guard.Reset(due.Remaining())
+	}
+}
+
+// timesOut answers a request that the module has not answered in its time: it is late itself.
+func (b *Balancer) timesOut(c *call) {
+	if !c.settle() {
+		return
+	}
+	b.post(func() { b.module.Abandoned(c.id) }) // it calls back what is out
+	b.delays.guarded.Add(1)
+	if c.out == 0 && !c.mayHaveRun {
+		c.rateLimit(order{})
+	} else {
+		c.errored(order{})
+	}
+}
+
 // abandon ends a request whose client has gone away.
 func (b *Balancer) abandon(c *call) {
-	b.decide(func() {
-		if !c.settled {
-			c.settled = true
-			b.module.Abandoned(c.id)
-			b.tally.abandoned.Add(1)
-			b.figures.inHand.Add(-1)
-			close(c.answered)
-		}
-	})
+	if !c.settle() {
+		return
+	}
+	b.post(func() { b.module.Abandoned(c.id) })
+	b.tally.abandoned.Add(1)
+	b.figures.inHand.Add(-1)
+	close(c.answered)
+}
+
+// settle chooses the request's one final answer; false where it is chosen already.
+func (c *call) settle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.settled
+	c.settled = true
+	return first
+}
+
+func (c *call) isSettled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled
+}
+
+// takeOrders empties the request's mailbox.
+func (c *call) takeOrders() (orders []order, settled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	orders, c.orders = c.orders, nil
+	return orders, c.settled
+}
+
+// take puts an order into the mailbox. A second final one is dropped.
+func (c *call) take(o order, final bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if final && c.settled {
+		return
+	}
+	c.settled = c.settled || final
+	c.orders = append(c.orders, o)
+	select {
+	case c.nudge <- struct{}{}:
+	default:
+	}
 }
 
 // start has a goroutine live a call: one that is done with another, whose stack has grown to what a call needs, else a
@@ -153,28 +227,16 @@
 
 // leave forgets a request that has its answer and whose attempts have ended.
 func (b *Balancer) leave(c *call) {
-	b.mu.Lock()
-	delete(b.calls, c.id)
-	delete(b.ids, string(c.ID))
-	b.mu.Unlock()
+	if c.id != "" {
+		b.post(func() { delete(b.calls, c.id) })
+	}
+	b.unclaim(c)
 	b.held.Add(-c.held.Load())
 	b.open.Add(-1)
 	<-c.client.behind
 	c.client.rests()
 }
 
-// decide lets the module hear of one thing that happened; its orders lie in the calls' mailboxes then.
-func (b *Balancer) decide(hear func()) {
-	asked := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	entered := time.Now()
-	b.delays.waited.note(entered.Sub(asked))
-	b.now = b.nanos(deadline.After(entered, 0))
-	hear()
-	b.delays.held.note(time.Since(entered))
-}
-
 // nanos is an instant on the module's clock.
 func (b *Balancer) nanos(d deadline.Deadline) policy.Nanos {
 	return b.epochNanos + policy.Nanos(d.Time().Sub(b.epoch))
@@ -185,19 +247,11 @@
 	return deadline.After(b.epoch, time.Duration(n-b.epochNanos))
 }
 
-// ordersFor empties a call's mailbox.
-func (b *Balancer) ordersFor(c *call) (orders []order, settled bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	orders, c.orders = c.orders, nil
-	return orders, c.settled
-}
-
 // abandonAll answers all that is in hand: there is no time left for it. It tells how many they were.
 func (b *Balancer) abandonAll() (n int) {
 	b.decide(func() {
 		for id, c := range b.calls {
-			if !c.settled {
+			if !c.isSettled() {
 				n++
 				host{b}.Error(id)
 				b.module.Abandoned(id)
@@ -211,15 +265,8 @@
 type host struct{ b *Balancer }
 
 func (h host) note(id policy.CallID, o order, final bool) {
-	c := h.b.calls[id]
-	if c == nil || final && c.settled {
-		return
-	}
-	c.settled = c.settled || final
-	c.orders = append(c.orders, o)
-	select {
-	case c.nudge <- struct{}{}:
-	default:
+	if c := h.b.calls[id]; c != nil {
+		c.take(o, final)
 	}
 }
 
--- a/internal/balancer/delays.go
+++ b/internal/balancer/delays.go
@@ -36,6 +36,7 @@
 	late         atomic.Int64 // answers written after the deadline
 	latest       peak         // by how much
 	told         atomic.Int64 // of these, named in the log since the last report
+	guarded      atomic.Int64 // answers by the request's own timer, as no decision had come in its time
 }
 
 // lateNamed bounds the late answers that the log names between two reports.
--- a/internal/balancer/follow.go
+++ b/internal/balancer/follow.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
-	"sync"
 	"time"
 
 	"streamrail/internal/deployment"
@@ -28,7 +26,6 @@
 			l = discovery.List{}
 		}
 	}
-	b.source.keep(l)
 	b.listed(policy.ListRestored, l)
 	if len(l.Hosts) == 0 {
 		return
@@ -41,46 +38,13 @@
 	}
 }
 
-var conditionNames = [...]string{"up", "draining", "gone"}
-
-func (b *Balancer) listed(kind policy.ListKind, l discovery.List) {
-	began := time.Now()
-	b.decide(func() { b.starts.place(l, b.now, kind != policy.ListUpdate) })
-	entries := make([]policy.Entry, 0, len(l.Hosts))
-	for _, h := range l.Hosts {
-		entries = append(entries, h.Entry)
-		if h.Condition != policy.Up {
-			b.log.Info().Str("host", string(h.Cache)).Str("condition", conditionNames[h.Condition]).Msg("host")
-		}
-	}
-	if len(l.Hosts) > 0 || kind != policy.ListRestored {
-		b.knows.Store(true)
-	}
-	b.hosts.Listed(l) // first, so that a host which the module knows can be sent to
-	b.decide(func() { b.module.Listed(kind, entries) })
-	b.log.Info().Int64("version", l.Generation).Bool("whole", l.Whole).Int("hosts", len(l.Hosts)).
-		Float64("took_ms", milliseconds(time.Since(began))).Msg("list applied")
-}
-
 // spread draws a wait from half of it on, lest all balancers try again together.
 func spread(wait time.Duration) time.Duration {
 	return time.Duration(float64(wait) * (0.5 + rand.Float64()/2))
 }
 
-// source is where the list comes from.
-type source struct {
-	mu    sync.Mutex // also held while a list is handed on: once an address is left, nothing is heard of it
-	addr  string
-	stop  context.CancelFunc // ends the watch there; nil before the first
-	first chan struct{}      // closed once there is a list
-	once  sync.Once
-	list  discovery.List                                                    // as it is known now
-	known *int64                                                            // version of the list from before the start, where the watch goes on from it
-	dial  func(ctx context.Context, network, addr string) (net.Conn, error) // nil: the network's
-}
-
 func (b *Balancer) names() discovery.Names {
-	return discovery.Names{Zones: b.told.Zones, Kinds: b.told.Kinds}
+	return discovery.Names{Zones: b.told.Zones, Kinds: b.told.Kinds, Pause: b.pause}
 }
 
 // watch follows the list at the source's address from now on, from the whole list; the watch before it ends.
@@ -95,7 +59,7 @@
 	ctx, stop := context.WithCancel(b.running)
 	b.source.stop = stop
 	watch := &discovery.Watch{Addr: b.source.addr, Names: b.names(), Pace: b.pace, Dial: b.source.dial}
-	watch.Has = len(b.source.list.Hosts) > 0
+	watch.Has = len(b.source.hosts) > 0
 	if b.source.known != nil {
 		watch.From(*b.source.known)
 		b.source.known = nil // of the first address only
@@ -168,11 +132,12 @@
 	if n := len(l.Unread); n > 0 {
 		b.log.Warn().Err(l.Unread[0].Why).Int("entries", n).Str("discovery", b.source.addr).Msg("entries of the list cannot be read, their hosts stay as they were")
 	}
-	l = l.Over(b.source.list)
-	b.source.keep(l)
+	if !l.Stands(b.source.generation) {
+		l = l.Over(b.source.list())
+	}
 	if l.Whole {
 		b.listed(policy.ListReplace, l)
-	} else if len(l.Hosts) > 0 {
+	} else {
 		b.listed(policy.ListUpdate, l)
 	}
 	b.source.once.Do(func() { close(b.source.first) })
--- /dev/null
+++ b/internal/balancer/listed.go
@@ -0,0 +1,79 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"streamrail/internal/deadline"
+	"streamrail/internal/discovery"
+	"streamrail/policy"
+)
+
+// A list is applied in pieces, with a rest after each: whatever its length, no request waits for more than a piece, and with one
+// core what has come over the network meanwhile is looked at between two of them.
+const (
+	pieceHosts = 32 // a quarter of a millisecond's work
+	pieceRest  = 200 * time.Microsecond
+)
+
+// pause lets other goroutines run, and has the runtime look at the network, in the middle of long work. Before the process serves
+// nobody waits for it.
+func (b *Balancer) pause() {
+	if b.in() != Starting {
+		time.Sleep(pieceRest)
+	}
+}
+
+// listed applies an answer of discovery, as far as it changes what is known. Under source.mu, or before anybody follows.
+func (b *Balancer) listed(kind policy.ListKind, l discovery.List) {
+	began := time.Now()
+	changes := b.source.keep(l)
+	if kind == policy.ListUpdate && len(changes) == 0 { // a watch that waited for nothing
+		return
+	}
+	b.starts.place(discovery.List{Hosts: changes}, b.nanos(deadline.After(began, 0)), false)
+	all := entriesOf(l.Hosts)
+	b.decide(func() { b.module.ListBegins(kind, all) })
+	for piece := range slices.Chunk(changes, pieceHosts) {
+		b.applyPiece(piece)
+		b.pause()
+	}
+	if len(l.Hosts) > 0 || kind != policy.ListRestored {
+		b.knows.Store(true)
+	}
+	b.log.Info().Int64("version", l.Generation).Bool("whole", l.Whole).Int("hosts", len(l.Hosts)).Int("changes", len(changes)).
+		Float64("took_ms", milliseconds(time.Since(began))).Msg("list applied")
+}
+
+// applyPiece applies some entries: to the connections first, so that a host which the module knows can be sent to.
+func (b *Balancer) applyPiece(hosts []discovery.Host) {
+	b.hosts.Listed(discovery.List{Hosts: hosts})
+	entries := entriesOf(hosts)
+	b.decide(func() { b.module.Changed(entries) })
+	for _, condition := range []policy.Condition{policy.Draining, policy.Gone} {
+		b.logHosts(condition, hosts)
+	}
+}
+
+func entriesOf(hosts []discovery.Host) []policy.Entry {
+	entries := make([]policy.Entry, len(hosts))
+	for i := range hosts {
+		entries[i] = hosts[i].Entry
+	}
+	return entries
+}
+
+var conditionNames = [...]string{"up", "draining", "gone"}
+
+// logHosts names the hosts of a condition, all in one line: each line is a write.
+func (b *Balancer) logHosts(condition policy.Condition, hosts []discovery.Host) {
+	var ids []string
+	for i := range hosts {
+		if hosts[i].Condition == condition {
+			ids = append(ids, string(hosts[i].Cache))
+		}
+	}
+	if len(ids) > 0 {
+		b.log.Info().Str("condition", conditionNames[condition]).Strs("hosts", ids).Msg("hosts")
+	}
+}
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -56,11 +56,10 @@
 // Run takes the balancer through its phases and returns when it has stopped.
 func (b *Balancer) Run() error {
 	b.listening = time.Now()
-	listener, from, err := b.listen()
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	listener, from := b.meet() // nil: no older process serves there
+	if listener != nil {
+		defer listener.Close()
 	}
-	defer listener.Close()
 	if b.told.Admin != "" {
 		l, err := net.Listen("tcp", b.told.Admin)
 		if err != nil {
@@ -79,11 +78,19 @@
 	b.restore(from)
 	b.takeOver(from)
 	b.watch()
-	select {
-	case <-b.source.first:
-	case <-b.changed: // ordered to end before it served
-	case <-time.After(startWait):
-		b.log.Warn().Msg("no list from discovery yet, serving with the one last known")
+	b.awaitList()
+	if listener == nil {
+		if b.in() != Starting { // ordered to end before it took anything on
+			b.stopped()
+			return nil
+		}
+		// Only now: what clients send to an open address counts as taken, and cannot be answered before all this is done.
+		b.listening = time.Now()
+		var err error
+		if listener, err = b.listen(); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		defer listener.Close()
 	}
 	b.enter(Serving)
 	go b.accept(listener)
@@ -100,6 +107,23 @@
 			b.report()
 		}
 	}
+	b.endInOrder(listener)
+	b.stopped()
+	return nil
+}
+
+// awaitList waits for the present list, for as long as the one last known may serve in its place.
+func (b *Balancer) awaitList() {
+	select {
+	case <-b.source.first:
+	case <-b.changed: // ordered to end before it served
+	case <-time.After(startWait):
+		b.log.Warn().Msg("no list from discovery yet, serving with the one last known")
+	}
+}
+
+// endInOrder goes through the phases that are left after Serving.
+func (b *Balancer) endInOrder(listener net.Listener) {
 	end := time.After(min(b.told.ClientTimeout, longest) + beyond)
 	if b.in() == Leaving && b.upgrade.heirReady.Load() { // the socket stays open there: nobody is turned back
 		listener.Close()
@@ -111,10 +135,13 @@
 	if b.in() == Draining {
 		b.drain(listener, end)
 	}
+}
+
+// stopped ends what Run began.
+func (b *Balancer) stopped() {
 	b.report()
 	b.enter(Stopped)
 	b.hosts.Close()
-	return nil
 }
 
 // leaving serves on: clients use the connections they have for as long as these stay open, and a peer that
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -324,18 +324,31 @@
 	return nil
 }
 
+// claims are the ids that clients gave their requests in hand.
+type claims struct {
+	mu    sync.Mutex
+	taken map[string]struct{}
+}
+
 // claim takes the call's id; false where another request in hand has it. Hosts know an attempt by that id, and would
 // take one of two for the other's repeat.
 func (b *Balancer) claim(c *call) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if _, taken := b.ids[string(c.ID)]; taken {
+	b.ids.mu.Lock()
+	defer b.ids.mu.Unlock()
+	if _, taken := b.ids.taken[string(c.ID)]; taken {
 		return false
 	}
-	b.ids[string(c.ID)] = struct{}{}
+	b.ids.taken[string(c.ID)] = struct{}{}
 	return true
 }
 
+// unclaim leaves the call's id to others.
+func (b *Balancer) unclaim(c *call) {
+	b.ids.mu.Lock()
+	defer b.ids.mu.Unlock()
+	delete(b.ids.taken, string(c.ID))
+}
+
 // readValue reads a write's value, or passes over it; whole tells that its line end stands where it should.
 func (c *call) readValue(keep bool) (whole bool, err error) {
 	in := c.client.in
--- a/internal/balancer/report.go
+++ b/internal/balancer/report.go
@@ -41,10 +41,12 @@
 
 // report logs the tally; the differences of two lines are what happened between them.
 func (b *Balancer) report() {
-	b.mu.Lock()
-	taken, attempts, hosts := b.taken, b.tally.attempts, b.tally.hosts
-	b.tally.hosts = map[policy.CacheID]*[2]int64{}
-	b.mu.Unlock()
+	var attempts [policy.Unknown + 1]int64
+	var hosts map[policy.CacheID]*[2]int64
+	b.decide(func() {
+		attempts, hosts = b.tally.attempts, b.tally.hosts
+		b.tally.hosts = map[policy.CacheID]*[2]int64{}
+	})
 	for id, n := range hosts {
 		if n[1] >= 5 && n[1] > n[0]/10 { // fewer is what a healthy host shows now and then
 			b.log.Warn().Str("host", string(id)).Int64("shots", n[0]).Int64("bad", n[1]).Msg("host in trouble")
@@ -63,11 +65,11 @@
 	}
 	t, d := &b.tally, &b.delays
 	d.told.Store(0)
-	b.log.Info().Uint64("taken", taken).Int64("fulfilled", t.fulfilled.Load()).
+	b.log.Info().Uint64("taken", b.taken.Load()).Int64("fulfilled", t.fulfilled.Load()).
 		Int64("rate_limited", t.rateLimited.Load()).Int64("errored", t.errored.Load()).
 		Int64("abandoned", t.abandoned.Load()).Dict("shots", byOutcome).Int64("in_hand", b.open.Load()).
 		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).
 		Float64("after_told_ms", milliseconds(b.hosts.AfterTold())).
 		Float64("held_ms", milliseconds(d.held.recent())).Float64("waited_ms", milliseconds(d.waited.recent())).
-		Int64("late", d.late.Load()).Float64("latest_ms", milliseconds(d.latest.recent())).Msg("traffic")
+		Int64("late", d.late.Load()).Int64("guarded", d.guarded.Load()).Float64("latest_ms", milliseconds(d.latest.recent())).Msg("traffic")
 }
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -16,8 +16,7 @@
 func (c *call) pass(v *upstream.Value) (whole bool) {
 	begun := false
 	c.b.decide(func() {
-		if begun = !c.settled; begun {
-			c.settled = true
+		if begun = c.startStream(); begun {
 			c.b.module.Streaming(c.id)
 		}
 	})
@@ -50,6 +49,23 @@
 	return true
 }
 
+// startStream chooses a long value as the final answer; false where another one is chosen already.
+func (c *call) startStream() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.settled {
+		return false
+	}
+	c.settled, c.streaming = true, true
+	return true
+}
+
+func (c *call) isStreaming() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streaming
+}
+
 // upload is a long value that a client writes. Its reader is the attempt that takes it; what no attempt takes is passed over.
 type upload struct {
 	upstream.Upload
@@ -105,7 +121,8 @@
 	p[0] = end[0]
 	b := u.call.b
 	u.Deadline = deadline.After(u.call.client.arrival(), u.call.Left).Earlier(wayBack)
-	b.decide(func() { b.module.Came(u.call.id, b.nanos(u.Deadline)) })
+	u.call.guards(u.Deadline)
+	b.post(func() { b.module.Came(u.call.id, b.nanos(u.Deadline)) })
 	if u.TooLate() {
 		return 0, errTooLate
 	}
--- a/internal/balancer/timers.go
+++ b/internal/balancer/timers.go
@@ -57,7 +57,7 @@
 
 // fireTimers lets the decisions hear of all timers that are due.
 func (b *Balancer) fireTimers() {
-	b.decide(func() {
+	b.post(func() {
 		w := &b.timers
 		w.takeDue(int64(b.now / wheelTick))
 		w.armedFor = never
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"streamrail/internal/admin"
-	"streamrail/internal/discovery"
 	"streamrail/internal/handover"
 	"streamrail/policy"
 )
@@ -48,23 +47,30 @@
 	errNoWord  = errors.New("this process has done it; the other one of an upgrade does not answer")
 )
 
-// listen opens the clients' address. Where there is a door an older process may serve there, which hands it over.
-func (b *Balancer) listen() (net.Listener, *handover.State, error) {
+// meet takes over the clients' address from an older process that serves there; nil where there is none. Only where there is a
+// door there may be one.
+func (b *Balancer) meet() (net.Listener, *handover.State) {
 	if b.told.Admin == "" {
-		l, err := net.Listen("tcp", b.told.Listen)
-		return l, nil, err
+		return nil, nil
 	}
 	l, s, p, err := handover.Meet(handover.Path(os.TempDir(), b.told.Listen, ".sock"))
 	if err == nil {
 		b.log.Info().Int("excluded", len(s.Excluded)).Msg("taking over from an older process")
 		b.upgrade.elder = p
-		return l, &s, nil
+		return l, &s
 	}
 	if !errors.Is(err, handover.ErrAlone) {
 		b.log.Warn().Err(err).Msg("could not take over from an older process, starting as if alone")
 	}
-	l, err = handover.Listen(b.told.Listen)
-	return l, nil, err
+	return nil, nil
+}
+
+// listen opens the clients' address.
+func (b *Balancer) listen() (net.Listener, error) {
+	if b.told.Admin == "" {
+		return net.Listen("tcp", b.told.Listen)
+	}
+	return handover.Listen(b.told.Listen)
 }
 
 func (b *Balancer) banFile() string { return handover.Path(os.TempDir(), b.told.Listen, ".out") }
@@ -143,7 +149,7 @@
 		return s, errBusy
 	}
 	b.source.mu.Lock()
-	s.List = b.names().Format(b.source.list)
+	s.List = b.names().Format(b.source.list())
 	b.source.mu.Unlock()
 	b.decide(func() {
 		s.Excluded = b.excluded()
@@ -398,28 +404,3 @@
 
 // memory is what the collector keeps the heap under: what lives is some megabytes, and the machine's limit holds for all.
 func (b *Balancer) memory() int64 { return int64(b.told.MemoryMB) << 20 * 3 / 4 }
-
-// keep notes the list as a newer process would take it over. Under source.mu, or before anybody follows.
-func (s *source) keep(l discovery.List) {
-	if !l.Whole && len(l.Hosts) == 0 { // a watch that waited for nothing, every other second
-		s.list.Generation, s.list.Whole = l.Generation, true
-		return
-	}
-	hosts := map[policy.CacheID]discovery.Host{}
-	for _, h := range s.list.Hosts {
-		hosts[h.Cache] = h
-	}
-	if l.Whole {
-		clear(hosts)
-	}
-	for _, h := range l.Hosts {
-		hosts[h.Cache] = h
-		if h.Condition == policy.Gone {
-			delete(hosts, h.Cache)
-		}
-	}
-	s.list = discovery.List{Generation: l.Generation, Whole: true}
-	for _, h := range hosts {
-		s.list.Hosts = append(s.list.Hosts, h)
-	}
-}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -132,3 +132,23 @@
 		t.Errorf("%v: %d hosts of %d bytes", err, len(got.Hosts), len(text))
 	}
 }
+
+// What reading a whole list costs.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{200, 3200} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var l List
+			for i := range n {
+				l.Hosts = append(l.Hosts, Host{Addr: "10.1.0.18:11211", Entry: policy.Entry{Cache: policy.CacheID("s-5be2a07c-" + strconv.Itoa(i)), Size: 1}})
+			}
+			names := Names{Kinds: map[string]policy.Kind{"cache": 0}, Zones: map[string]policy.Zone{"here": 0}}
+			text := names.Format(l)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := names.Parse(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
