Hold long lists, releases, upgrades, reloads and outages to one answer in time, by a soak too

The test's clients also looked wrongly: they sent on connections whose end had come, and dialled a process that the front sends nothing new to any more, later than the platform does; both follow the protocol now.

--- a/cmd/streamrail/long_list_test.go
+++ b/cmd/streamrail/long_list_test.go
@@ -6,9 +6,13 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,35 +22,66 @@
 const (
 	longListHosts    = 3200
 	longListClients  = 20
-	longListEvery    = 100 * time.Millisecond // between two requests of a client
-	longListTimeout  = 400 * time.Millisecond // of a request
-	lateAfter        = 50 * time.Millisecond  // beyond the timeout: the answer earns nothing
-	lostAfter        = 500 * time.Millisecond // beyond the timeout: the request counts as lost
-	longListKill     = 200 * time.Millisecond // until a process that got SIGKILL has surely ended: the next starts later
-	schedulingPeriod = 20 * time.Millisecond  // in which a process gets its share of a core
+	longListEvery    = 100 * time.Millisecond  // between two requests of a client
+	longListTimeout  = 400 * time.Millisecond  // of a request
+	lateAfter        = 50 * time.Millisecond   // beyond the timeout: the answer earns nothing
+	lostAfter        = 500 * time.Millisecond  // beyond the timeout: the request counts as lost
+	longListTerm     = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+	longListFront    = 400 * time.Millisecond  // from SIGTERM to the last new connection
+	longListKill     = 200 * time.Millisecond  // until a process that got SIGKILL has surely ended: the next starts later
+	schedulingPeriod = 20 * time.Millisecond   // in which a process gets its share of a core
 )
 
-// starve gives a process a share of a core until it ends.
-func starve(p *running, share float64) {
+// starved is a process that gets a share of a core until it ends.
+type starved struct {
+	*running
+	stalled atomic.Int64 // it stands still until then, as Unix nanoseconds
+}
+
+func starve(p *running, share float64) *starved {
+	s := &starved{running: p}
 	slice := time.Duration(share * float64(schedulingPeriod))
 	go func() {
 		for {
-			if p.Process.Signal(syscall.SIGCONT) != nil {
+			if time.Now().UnixNano() >= s.stalled.Load() && p.Process.Signal(syscall.SIGCONT) != nil {
 				return
 			}
 			time.Sleep(slice)
-			p.Process.Signal(syscall.SIGSTOP)
-			time.Sleep(schedulingPeriod - slice)
+			if slice < schedulingPeriod {
+				p.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(schedulingPeriod - slice)
+			}
 		}
 	}()
+	return s
+}
+
+// stall has the process stand still for a while.
+func (s *starved) stall(span time.Duration) {
+	s.stalled.Store(time.Now().Add(span).UnixNano())
+	s.Process.Signal(syscall.SIGSTOP)
 }
 
 // longList is discovery with thousands of hosts, behind whose names a few processes stand.
 type longList struct {
 	*list
 	hosts []*cacheHost
-	next  int // number of the host that is listed next
-	first int // of the oldest host that is listed
+	next  int         // number of the host that is listed next
+	first int         // of the oldest host that is listed
+	away  atomic.Bool // it answers nothing
+	addrs [2]string   // it is at both
+}
+
+// ServeHTTP is silent while discovery is away.
+func (l *longList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	for l.away.Load() {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	l.list.ServeHTTP(w, r)
 }
 
 func newLongList(t *testing.T, size int) *longList {
@@ -64,6 +99,11 @@
 		}
 	}()
 	l.change(size, 0, "")
+	for i := range l.addrs {
+		server := httptest.NewServer(l)
+		t.Cleanup(server.Close)
+		l.addrs[i] = addr(server)
+	}
 	return l
 }
 
@@ -113,11 +153,102 @@
 // longListRun is one balancer with clients that send on all the time.
 type longListRun struct {
 	load
-	list *longList
-	end  time.Time
-	mu   sync.Mutex
-	kill time.Time // the last one
-	addr string
+	*testing.T
+	list    *longList
+	process *starved
+	config  map[string]any
+	dir     string // the processes' folder
+	share   float64
+	every   time.Duration // between two requests of a client
+	end     time.Time
+
+	turnedOff atomic.Bool // the front sends no new connections
+	mu        sync.Mutex
+	kill      time.Time // the last one
+}
+
+func newLongListRun(t *testing.T, hosts int, share float64, every, duration time.Duration) *longListRun {
+	l := newLongList(t, hosts)
+	cfg := config(l.list, freeAddr(t), through)
+	cfg["discovery"] = l.addrs[0]
+	r := &longListRun{T: t, list: l, config: cfg, dir: shortDir(t), share: share, every: every}
+	r.start()
+	r.end = time.Now().Add(duration)
+	return r
+}
+
+// start starts a process, beside another one or alone, and waits until it takes clients.
+func (r *longListRun) start() {
+	p, _ := ready(r.T, r.config, r.dir)
+	r.process = starve(p, r.share)
+}
+
+// startStarved starts a process that has its share of a core from the first moment on.
+func (r *longListRun) startStarved() {
+	r.config["known"] = r.list.whole()
+	r.process = starve(launch(r.T, r.config, "GW_ADMIN_ADDR="+freeAddr(r.T), "TMPDIR="+r.dir), r.share)
+}
+
+// restart kills the process, and starts another a while later.
+func (r *longListRun) restart() {
+	r.mu.Lock()
+	r.process.Process.Kill()
+	r.kill = time.Now()
+	r.mu.Unlock()
+	time.Sleep(time.Second)
+	r.startStarved()
+}
+
+// release ends the process in order, kills it as soon as the terms allow, and starts another.
+func (r *longListRun) release() {
+	old := r.process
+	old.Process.Signal(syscall.SIGTERM)
+	time.Sleep(longListFront)
+	r.turnedOff.Store(true)
+	time.Sleep(longListTerm - longListFront)
+	old.Process.Kill()
+	r.startStarved()
+	r.turnedOff.Store(false)
+}
+
+// upgrade has a newer process take over, which the older one hears of before it is told to end.
+func (r *longListRun) upgrade() {
+	old := r.process
+	r.config["known"] = r.list.whole()
+	r.start()
+	old.Process.Signal(syscall.SIGTERM)
+	time.Sleep(longListTerm)
+	old.Process.Kill()
+}
+
+// reload moves discovery to its other address, with a whole list each time.
+func (r *longListRun) reload() {
+	r.list.addrs[0], r.list.addrs[1] = r.list.addrs[1], r.list.addrs[0]
+	r.config["discovery"] = r.list.addrs[0]
+	write(r.T, r.process.config, r.config)
+	r.process.Process.Signal(syscall.SIGHUP)
+}
+
+// outage has discovery say nothing for a while, in which a large part of the list changes.
+func (r *longListRun) outage(span time.Duration, changes int) {
+	r.list.away.Store(true)
+	time.Sleep(span)
+	r.list.change(changes, changes, "leaving")
+	r.list.away.Store(false)
+}
+
+// play runs the clients until the end, while something happens.
+func (r *longListRun) play(happens func()) {
+	var clients sync.WaitGroup
+	for n := range longListClients {
+		clients.Go(func() { r.client(n) })
+	}
+	happens()
+	clients.Wait()
+	r.Log(r.load.String())
+	if r.lost+r.unanswered > 0 || r.fulfilled == 0 {
+		r.Errorf("%s\n%q", r.load.String(), r.examples)
+	}
 }
 
 // killed tells whether a connection was to the process that got the last SIGKILL, which takes a moment to end.
@@ -137,14 +268,23 @@
 		id := fmt.Sprintf("c%dr%d", n, i)
 		answered := false
 		for !answered && time.Since(began) < longListTimeout {
+			if conn == nil && r.turnedOff.Load() {
+				time.Sleep(5 * time.Millisecond)
+				continue
+			}
 			if conn == nil {
-				c, err := net.DialTimeout("tcp", r.addr, longListTimeout)
+				c, err := net.DialTimeout("tcp", r.config["listen"].(string), longListTimeout)
 				if err != nil { // nobody listens: the client knows at once
 					time.Sleep(5 * time.Millisecond)
 					continue
 				}
 				conn, in, opened = c, bufio.NewReader(c), time.Now()
 			}
+			if hasEnded(conn, in) {
+				conn.Close()
+				conn = nil
+				continue
+			}
 			left := longListTimeout - time.Since(began)
 			if left < 10*time.Millisecond {
 				break
@@ -152,10 +292,12 @@
 			sent := time.Now()
 			conn.SetDeadline(sent.Add(left + lostAfter))
 			_, err := io.WriteString(conn, get(fmt.Sprint("key", (n*7919+i*104729)%5000), id, int(left.Milliseconds())))
-			line := ""
-			if err == nil {
-				line, err = in.ReadString('\n')
+			if err != nil { // the connection has ended before: the request was never taken
+				conn.Close()
+				conn = nil
+				continue
 			}
+			line, err := in.ReadString('\n')
 			if err == nil && line[:2] == "VA" {
 				_, err = in.ReadString('\n')
 			}
@@ -165,13 +307,20 @@
 				conn = nil
 			}
 		}
-		time.Sleep(time.Until(began.Add(longListEvery)))
+		time.Sleep(time.Until(began.Add(r.every)))
 	}
 	if conn != nil {
 		conn.Close()
 	}
 }
 
+// hasEnded tells whether the other side has closed a connection at rest, as a client sees before it uses it again.
+func hasEnded(conn net.Conn, in *bufio.Reader) bool {
+	conn.SetReadDeadline(time.Now().Add(100 * time.Microsecond))
+	_, err := in.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // saw notes what came of a request; false where the client sends it once more.
 func (r *longListRun) saw(id, line string, took, left time.Duration, err error, killed bool) (over bool) {
 	r.load.mu.Lock()
@@ -213,48 +362,115 @@
 }
 
 // TestLongLists holds a balancer with thousands of hosts and a tenth of a core to its one final answer in time, whatever makes it
-// apply a long list: a start after a kill, a list that changes all the time.
+// apply a long list.
 func TestLongLists(t *testing.T) {
-	const share, duration = 0.1, 8 * time.Second
-	for _, c := range []struct {
-		name    string
-		replace int // hosts a second
-		happens func(t *testing.T, r *longListRun, p *running, cfg map[string]any)
-	}{
-		{"replaced", longListHosts / 4, func(*testing.T, *longListRun, *running, map[string]any) {}},
-		{"killed", longListHosts / 10, func(t *testing.T, r *longListRun, p *running, cfg map[string]any) {
+	const share, duration, tenth = 0.1, 8 * time.Second, longListHosts / 10
+	for name, happens := range map[string]func(r *longListRun){
+		"replaced": func(r *longListRun) { r.list.replaceUntil(r.end, longListHosts/4) },
+		"killed": func(r *longListRun) {
+			go r.list.replaceUntil(r.end, tenth)
 			time.Sleep(duration / 2)
-			r.mu.Lock()
-			p.Process.Kill()
-			r.kill = time.Now()
-			r.mu.Unlock()
-			time.Sleep(time.Second)
-			cfg["known"] = r.list.whole()
-			starve(launch(t, cfg), share)
-		}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			l := newLongList(t, longListHosts)
-			cfg := config(l.list, freeAddr(t), through)
-			p := serving(t, cfg)
-			starve(p, share)
-			r := &longListRun{list: l, addr: cfg["listen"].(string), end: time.Now().Add(duration)}
-			var clients sync.WaitGroup
-			for n := range longListClients {
-				clients.Go(func() { r.client(n) })
+			r.restart()
+		},
+		"released": func(r *longListRun) {
+			go r.list.replaceUntil(r.end, tenth)
+			time.Sleep(duration / 4)
+			r.release()
+		},
+		"upgraded": func(r *longListRun) {
+			go r.list.replaceUntil(r.end, tenth)
+			time.Sleep(duration / 4)
+			r.upgrade()
+		},
+		"reloaded": func(r *longListRun) {
+			for time.Now().Before(r.end) {
+				r.reload()
+				time.Sleep(700 * time.Millisecond)
 			}
-			go l.replaceUntil(r.end, c.replace)
-			c.happens(t, r, p, cfg)
-			clients.Wait()
-			t.Log(r.load.String())
-			if r.lost+r.unanswered > 0 || r.fulfilled == 0 {
-				t.Errorf("%s\n%q", r.load.String(), r.examples)
+		},
+		"discovery away": func(r *longListRun) {
+			time.Sleep(duration / 8)
+			r.outage(duration/4, longListHosts/2)
+			r.outage(duration/4, longListHosts/2)
+		},
+		"held up": func(r *longListRun) {
+			go r.list.replaceUntil(r.end, tenth)
+			for time.Now().Before(r.end) {
+				r.process.stall(150 * time.Millisecond)
+				time.Sleep(500 * time.Millisecond)
 			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newLongListRun(t, longListHosts, share, longListEvery, duration)
+			r.play(func() { happens(r) })
+		})
+	}
+}
+
+// soakSeeds tells how many seeds the soak plays, from which one on, where it is started by hand: "50" or "50 101".
+const soakSeeds = "STREAMRAIL_SOAK"
+
+// TestLongListSoak draws by a seed what happens to a balancer one after the other, how many hosts there are and its share of a core.
+func TestLongListSoak(t *testing.T) {
+	seeds, first := 2, 1
+	if text := os.Getenv(soakSeeds); text != "" {
+		fmt.Sscan(text, &seeds, &first)
+	}
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			soakLongList(t, rand.New(rand.NewPCG(uint64(seed), 0)))
 		})
 	}
 }
 
+func soakLongList(t *testing.T, chance *rand.Rand) {
+	const duration = 20 * time.Second
+	hosts := []int{200, 1000, longListHosts}[chance.IntN(3)]
+	share := []float64{0.05, 0.1, 0.3, 1}[chance.IntN(4)]
+	every := []time.Duration{longListEvery, 5 * longListEvery}[chance.IntN(2)]
+	r := newLongListRun(t, hosts, share, every, duration)
+	r.Logf("%d hosts, %v of a core, a request of a client every %v", hosts, share, every)
+	crowd := chance.IntN(3) == 0
+	r.play(func() {
+		if crowd { // idle connections that stay
+			for range 100 {
+				if c, err := net.Dial("tcp", r.config["listen"].(string)); err == nil {
+					defer c.Close()
+				}
+			}
+		}
+		for time.Until(r.end) > 6*time.Second {
+			r.Logf("%v left", time.Until(r.end).Round(time.Millisecond))
+			switch chance.IntN(7) {
+			case 0:
+				r.restart()
+			case 1:
+				r.release()
+			case 2:
+				r.upgrade()
+			case 3:
+				for range 1 + chance.IntN(5) {
+					r.reload()
+					time.Sleep(time.Duration(chance.IntN(500)) * time.Millisecond)
+				}
+			case 4:
+				r.outage(time.Duration(chance.IntN(3000))*time.Millisecond, hosts/2)
+			case 5:
+				for range 1 + chance.IntN(5) {
+					r.process.stall(time.Duration(chance.IntN(150)) * time.Millisecond)
+					time.Sleep(300 * time.Millisecond)
+				}
+			case 6:
+				r.list.change(hosts/4, hosts/4, []string{"leaving", "left"}[chance.IntN(2)])
+			}
+			time.Sleep(time.Duration(chance.IntN(1000)) * time.Millisecond)
+		}
+	})
+}
+
 // whole is the list as a balancer keeps it over a restart.
 func (l *longList) whole() map[string]any {
 	l.mu.Lock()
--- a/internal/balancer/accept_queue.go
+++ b/internal/balancer/accept_queue.go
@@ -24,6 +24,23 @@
 	return &acceptQueue{raw: rawOf(listener), stalls: stalls, emptyAt: opened}
 }
 
+const (
+	queueWait = 100 * time.Millisecond
+	queueLook = 2 * time.Millisecond
+)
+
+// closeEmptied closes a listener once nothing waits to be accepted, or after a while: the system resets what waits then, with what
+// its clients have sent.
+func closeEmptied(listener net.Listener) {
+	raw := rawOf(listener)
+	for began := time.Now(); raw != nil && time.Since(began) < queueWait; time.Sleep(queueLook) {
+		if standing, err := pollNow(raw, unix.POLLIN); err != nil || standing == 0 {
+			break
+		}
+	}
+	listener.Close()
+}
+
 // accepts is called before an accept.
 func (q *acceptQueue) accepts() {
 	q.began = time.Now()
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -170,7 +170,7 @@
 	for b.in() == Draining {
 		select {
 		case <-front:
-			listener.Close()
+			closeEmptied(listener)
 			b.clients.endIdle()
 		case <-b.clients.none:
 			return
