Hold that a starting process opens no address, and marshal what is handed over unlocked

TestRestarts now fails where the clients' address is open before the process has waited its second for a list (the failing version opens it after 6 ms).

--- a/cmd/streamrail/restart_test.go
+++ b/cmd/streamrail/restart_test.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// awaitsList is for how long a process that starts waits for the present list at the least, where none comes.
+const awaitsList = time.Second
+
 // A start with discovery away, silent or turning calls away, and with a list of before that is absent, old, spoilt or of another
 // deployment. It is ready within two seconds where it has a host to send to, and says MN only then: a front sends to who says so.
 // Where it has none it says so, turns requests away at once, and is ready as soon as discovery is back.
@@ -60,9 +63,13 @@
 				p := launch(t, cfg)
 				p.addr = cfg["listen"].(string)
 				first := ""
-				for began := time.Now(); first == "" && time.Since(began) < patience; time.Sleep(5 * time.Millisecond) {
+				for first == "" && time.Since(began) < patience {
+					time.Sleep(5 * time.Millisecond)
 					if c, err := net.Dial("tcp", p.addr); err == nil {
 						c.Close()
+						if after := time.Since(began); after < awaitsList {
+							t.Errorf("its address is open after %v, while it still waits for the list", after)
+						}
 						if got := p.dial(t).ask("mn\r\n"); got == "MN" || strings.HasPrefix(got, "SERVER_ERROR") {
 							first = got // what comes before it listens is no answer of its own
 						}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -151,11 +151,12 @@
 	b.source.mu.Lock()
 	s.List = b.names().Format(b.source.list())
 	b.source.mu.Unlock()
+	var learnt policy.Learnt
 	b.decide(func() {
 		s.Excluded = b.excluded()
-		s.Learnt, err = json.Marshal(b.module.Tell())
+		learnt = b.module.Tell()
 	})
-	if err != nil {
+	if s.Learnt, err = json.Marshal(learnt); err != nil {
 		return s, err
 	}
 	s.Holds, s.Fleet = b.holding(), b.keepPlace()
