Have hosts hang in the long-list tests and in their soak

A sixth of the hosts answers nothing, another one each second, or more often than not none in the soak: the final answers then come by the deadline's timers.

--- a/cmd/streamrail/long_list_test.go
+++ b/cmd/streamrail/long_list_test.go
@@ -70,10 +70,11 @@
 type longList struct {
 	*list
 	hosts []*cacheHost
-	next  int         // number of the host that is listed next
-	first int         // of the oldest host that is listed
-	away  atomic.Bool // it answers nothing
-	addrs [2]string   // it is at both
+	next  int          // number of the host that is listed next
+	first int          // of the oldest host that is listed
+	away  atomic.Bool  // it answers nothing
+	hangs atomic.Int32 // so does the process behind a sixth of the hosts; 0: none
+	addrs [2]string    // it is at both
 }
 
 // ServeHTTP is silent while discovery is away.
@@ -90,8 +91,13 @@
 
 func newLongList(t *testing.T, size int) *longList {
 	l := &longList{list: newList(t)}
-	for range 6 {
-		h := newHost(t, "h", hit)
+	for i := range 6 {
+		h := newHost(t, "h", func(g got) string {
+			if int(l.hangs.Load()) == i+1 {
+				return ""
+			}
+			return hit(g)
+		})
 		l.hosts = append(l.hosts, h)
 		go func() { // nobody looks at what came
 			for range h.came {
@@ -398,6 +404,13 @@
 			r.outage(duration/4, longListHosts/2)
 			r.outage(duration/4, longListHosts/2)
 		},
+		"hosts hang": func(r *longListRun) {
+			go r.list.replaceUntil(r.end, tenth)
+			for i := int32(1); time.Now().Before(r.end); i = i%6 + 1 {
+				r.list.hangs.Store(i)
+				time.Sleep(time.Second)
+			}
+		},
 		"held up": func(r *longListRun) {
 			go r.list.replaceUntil(r.end, tenth)
 			for time.Now().Before(r.end) {
@@ -449,6 +462,7 @@
 		}
 		for time.Until(r.end) > 6*time.Second {
 			r.Logf("%v left", time.Until(r.end).Round(time.Millisecond))
+			r.list.hangs.Store(int32(chance.IntN(12) - 5)) // none of them, more often than not
 			switch chance.IntN(7) {
 			case 0:
 				r.restart()
