Leave the answer at the end of a request's time to the decisions where they are free

Where the settings tell no tick the module's own timer is due at the same moment as the request's own, and fires up to a millisecond later: nine of twenty reads at a silent host were answered failed by the stand-in, where the decisions say busy, as a read may be tried again (TestTimeoutsAreDecided, fails before).

Lines: guards and timesOut in internal/balancer/decide.go. The request's timer comes a tick of the wheel later now, and has the decisions hear of all timers that are due before it stands in for them.

--- a/cmd/streamrail/main_test.go
+++ b/cmd/streamrail/main_test.go
@@ -322,6 +322,22 @@
 	expect(t, c.ask(get("k", "b", 900)), "VA 10 Ob|value of k")
 }
 
+// TestTimeoutsAreDecided has twenty requests wait for a silent host until their time is over, with a clock that has no ticks: each final
+// answer is the decisions', who know that a read may be tried again, and not the one that stands in for them when they are late.
+func TestTimeoutsAreDecided(t *testing.T) {
+	p, _ := start(t, map[string]any{"tickNs": 0}, nil, newHost(t, "h", say("")))
+	answers := make(chan string)
+	for i := range 20 {
+		c := p.dial(t)
+		go func() { answers <- c.ask(get("k", fmt.Sprint("a", i), 300)) }()
+	}
+	for range 20 {
+		if got := await(t, answers, "an answer"); !strings.HasPrefix(got, "SERVER_ERROR busy") {
+			t.Errorf("got %q", got)
+		}
+	}
+}
+
 // A kept connection that the host has closed is not written to: the write would count as one that may have run.
 func TestKeptConnectionClosed(t *testing.T) {
 	h := newHost(t, "h", nil)
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -128,19 +128,23 @@
 	})
 }
 
-// guards has the request answered when its time is over, whether or not the module has come to it by then.
+// guards has the request answered when its time is over, whether or not the module has come to it by then. Its own timers fire up
+// to a tick of the wheel after they are due.
 func (c *call) guards(due deadline.Deadline) {
+	wait := due.Remaining() + time.Duration(wheelTick)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.guard == nil {
-		c.guard = time.NewTimer(due.Remaining())
+		c.guard = time.NewTimer(wait)
 	} else {
-		c.guard.Reset(due.Remaining())
+		c.guard.Reset(wait)
 	}
 }
 
-// timesOut answers a request that the module has not answered in its time: it is late itself.
+// timesOut answers a request that the module has not answered in its time. Where it is free it hears now that the time is over, and
+// decides; else it is late itself.
 func (b *Balancer) timesOut(c *call) {
+	b.fireTimers()
 	if !c.settle() {
 		return
 	}
