Drop the second way to tell that a whole list names a host no more

Since lists are told as changes (source.keep), a host that a whole list does not name comes as gone. upstream.Hosts.Listed still worked that out by itself, a twin of source.unnamed, and starts.place had a case for whole lists: only tests reached either. Both go; the tests tell the same departures as entries that are gone, with the assertions they had.

Behaviour is unchanged.

--- a/internal/balancer/listed.go
+++ b/internal/balancer/listed.go
@@ -31,7 +31,7 @@
 	if kind == policy.ListUpdate && len(changes) == 0 { // a watch that waited for nothing
 		return
 	}
-	b.starts.place(discovery.List{Hosts: changes}, b.nanos(deadline.After(began, 0)), false)
+	b.starts.place(changes, b.nanos(deadline.After(began, 0)))
 	all := entriesOf(l.Hosts)
 	b.decide(func() { b.module.ListBegins(kind, all) })
 	for piece := range slices.Chunk(changes, pieceHosts) {
--- a/internal/balancer/starts.go
+++ b/internal/balancer/starts.go
@@ -23,19 +23,15 @@
 	return &starts{wall: wall, placed: map[policy.CacheID]start{}}
 }
 
-// place sets when the hosts of a list started. One that starts in the future starts now.
-func (s *starts) place(l discovery.List, now policy.Nanos, whole bool) {
-	old := s.placed
-	if whole {
-		s.placed = make(map[policy.CacheID]start, len(l.Hosts))
-	}
-	for i := range l.Hosts {
-		h := &l.Hosts[i]
+// place sets when some hosts of the list started. One that starts in the future starts now; one that is gone is forgotten.
+func (s *starts) place(hosts []discovery.Host, now policy.Nanos) {
+	for i := range hosts {
+		h := &hosts[i]
 		if h.Born <= 0 || h.Condition == policy.Gone {
 			delete(s.placed, h.Cache)
 			continue
 		}
-		known, is := old[h.Cache]
+		known, is := s.placed[h.Cache]
 		if !is || known.told != h.Born {
 			age := policy.Nanos(s.wall().UnixNano()) - h.Born
 			known = start{told: h.Born, at: now - max(0, age)}
--- a/internal/balancer/starts_test.go
+++ b/internal/balancer/starts_test.go
@@ -18,28 +18,31 @@
 		host := func(name string, born time.Time) discovery.Host {
 			return discovery.Host{Entry: policy.Entry{Cache: policy.CacheID(name), Born: policy.Nanos(born.UnixNano())}}
 		}
-		age := func(l discovery.List, i int) time.Duration { return time.Duration(now - l.Hosts[i].Started) }
+		age := func(l []discovery.Host, i int) time.Duration { return time.Duration(now - l[i].Started) }
 		first := host("first", wall.Add(-2*time.Second))
-		l := discovery.List{Whole: true, Hosts: []discovery.Host{first, host("old", time.Unix(0, 0))}}
-		s.place(l, now, true)
-		if age(l, 0) != 2*time.Second || l.Hosts[1].Started != 0 {
-			t.Errorf("step %v: %v old before it, long ago is %v", step, age(l, 0), l.Hosts[1].Started)
+		l := []discovery.Host{first, host("old", time.Unix(0, 0))}
+		s.place(l, now)
+		if age(l, 0) != 2*time.Second || l[1].Started != 0 {
+			t.Errorf("step %v: %v old before it, long ago is %v", step, age(l, 0), l[1].Started)
 		}
 		now += policy.Nanos(time.Second)
 		wall = wall.Add(time.Second + step)
-		l = discovery.List{Whole: true, Hosts: []discovery.Host{first, host("second", wall.Add(-time.Second)), host("ahead", wall.Add(time.Minute))}}
-		s.place(l, now, true)
+		l = []discovery.Host{first, host("second", wall.Add(-time.Second)), host("ahead", wall.Add(time.Minute))}
+		s.place(l, now)
 		if age(l, 0) != 3*time.Second || age(l, 1) != time.Second || age(l, 2) != 0 {
 			t.Errorf("step %v: 3 s old is %v, 1 s old %v, one of the future %v", step, age(l, 0), age(l, 1), age(l, 2))
 		}
 		now += policy.Nanos(time.Second)
 		wall = wall.Add(time.Second)
-		again := discovery.List{Hosts: []discovery.Host{host("first", wall.Add(-time.Second))}}
-		s.place(again, now, false)
+		again := []discovery.Host{host("first", wall.Add(-time.Second))}
+		s.place(again, now)
 		if age(again, 0) != time.Second || len(s.placed) != 3 {
 			t.Errorf("step %v: a restart 1 s ago is %v old, %d hosts are known", step, age(again, 0), len(s.placed))
 		}
-		s.place(discovery.List{Whole: true}, now, true)
+		for i := range l {
+			l[i].Condition = policy.Gone
+		}
+		s.place(l, now)
 		if len(s.placed) != 0 {
 			t.Errorf("step %v: %d hosts stay known that no list names", step, len(s.placed))
 		}
--- a/internal/upstream/sizes_test.go
+++ b/internal/upstream/sizes_test.go
@@ -22,7 +22,7 @@
 				}
 				return all
 			}
-			hs.Listed(discovery.List{Whole: true, Hosts: list(n, 0, policy.Up)})
+			hs.Listed(discovery.List{Hosts: list(n, 0, policy.Up)})
 			for i := 0; b.Loop(); i++ {
 				hs.Listed(discovery.List{Hosts: append(list(n/2, i*n/2, policy.Gone), list(n/2, n+i*n/2, policy.Up)...)})
 			}
@@ -39,7 +39,7 @@
 	for i := range 1025 {
 		all = append(all, discovery.Host{Entry: policy.Entry{Cache: policy.CacheID(fmt.Sprint("s-", i))}, Addr: "127.0.0.1:1"})
 	}
-	hs.Listed(discovery.List{Whole: true, Hosts: all})
+	hs.Listed(discovery.List{Hosts: all})
 	if n := runtime.NumGoroutine(); n > before {
 		t.Errorf("%d goroutines, %d before", n, before)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// Listed takes what discovery tells. Changes cost by their number, a whole list by that of all hosts.
+// Listed takes the hosts that discovery tells other than before; one that a whole list does not name any more is among them, as gone.
 func (hs *Hosts) Listed(l discovery.List) {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
@@ -169,23 +169,6 @@
 		hs.mark(h, e.Condition, moved, at)
 		hs.forget(h)
 	}
-	if l.Whole {
-		hs.unnamed(l, at)
-	}
-}
-
-// unnamed marks the hosts as gone that a whole list does not name.
-func (hs *Hosts) unnamed(l discovery.List, at time.Time) {
-	named := make(map[policy.CacheID]bool, len(l.Hosts))
-	for _, e := range l.Hosts {
-		named[e.Cache] = true
-	}
-	for id, h := range hs.all {
-		if !named[id] {
-			hs.mark(h, policy.Gone, false, at)
-			hs.forget(h)
-		}
-	}
 }
 
 // forget drops a host that is gone once no connection to it is left: others come under new ids all day.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -38,7 +38,7 @@
 	}()
 	entry = discovery.Host{Addr: l.Addr().String(), Entry: policy.Entry{Cache: "h"}}
 	hs = New(limits, -1)
-	hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
+	hs.Listed(discovery.List{Hosts: []discovery.Host{entry}})
 	t.Cleanup(hs.Close)
 	return hs, entry, conns
 }
@@ -350,7 +350,11 @@
 	hs.Send(s)
 	c := <-conns
 	c.Read(make([]byte, 100)) // the attempt is out
-	hs.Listed(discovery.List{Whole: true})
+	gone := func(h discovery.Host) discovery.Host {
+		h.Condition = policy.Gone
+		return h
+	}
+	hs.Listed(discovery.List{Hosts: []discovery.Host{gone(entry)}})
 	known := func() int {
 		hs.mu.Lock()
 		defer hs.mu.Unlock()
@@ -367,8 +371,9 @@
 		}
 	}
 	for i := range 100 {
+		before := gone(entry)
 		entry.Cache = policy.CacheID(fmt.Sprint(i))
-		hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
+		hs.Listed(discovery.List{Hosts: []discovery.Host{before, entry}})
 	}
 	if known() != 1 {
 		t.Errorf("%d known of one", known())
@@ -387,7 +392,7 @@
 	ends(t, ended, policy.Missed)
 	atRest(t, hs, 1)
 	hs.Exclude("h")
-	hs.Listed(discovery.List{Whole: true, Hosts: []discovery.Host{entry}})
+	hs.Listed(discovery.List{Hosts: []discovery.Host{entry}})
 	s, ended = attempt(t, "mg k v O2 Pc=read,d=900", "", time.Minute)
 	hs.Send(s)
 	ends(t, ended, policy.NeverSent)
