Charge the recorder's own hold-up of a write to the recorder, not to the balancer

Traced, not rerun till green: the test is wrong. A write to the origin goes out as two buffers; the test's connection saw two writes, held each up by up to 80 ms, and stamped the attempt at the last, so that the first hold-up counted as the balancer's. A socket takes all buffers in one system call.

Now an attempt is held up and stamped at its first buffer; a long value, whose pieces are writes of their own, at each piece as before. The bound and the hold-up stay.

--- a/internal/balancer/deadline_test.go
+++ b/internal/balancer/deadline_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	"streamrail/internal/deployment"
 	"streamrail/internal/discovery"
 	"streamrail/internal/operator"
+	"streamrail/internal/upstream"
 	"streamrail/policy"
 )
 
@@ -121,11 +123,14 @@
 	ledger  *ledger
 	holdUp  func() time.Duration
 	pending []byte
+	at      time.Time // of the write that is under way
 }
 
 func (c *recordedConn) Write(p []byte) (int, error) {
-	at := time.Now() // before the hold-up, which a busy machine makes longer: the slack is less by the most that it may be
-	time.Sleep(c.holdUp())
+	if len(c.pending) == 0 || streams(c.pending) { // else it is of the write that is under way: a socket takes its buffers in one call
+		c.at = time.Now() // before the hold-up, which a busy machine makes longer: the slack is less by the most that it may be
+		time.Sleep(c.holdUp())
+	}
 	n, err := c.Conn.Write(p)
 	c.pending = append(c.pending, p[:n]...)
 	for {
@@ -134,11 +139,24 @@
 			return n, err
 		}
 		c.pending = c.pending[size:]
-		a.at, a.server = at, c.server
+		a.at, a.server = c.at, c.server
 		c.ledger.saw(a)
 	}
 }
 
+// declaredLength finds the length of a value in the head of a write, of either protocol.
+var declaredLength = regexp.MustCompile(`(?i)^ms \S+ (\d+)|\r\ncontent-length: (\d+)`)
+
+// streams tells that an attempt has begun whose long value is written piece by piece, as it comes from the client.
+func streams(begun []byte) bool {
+	found := declaredLength.FindSubmatch(begun)
+	if found == nil {
+		return false
+	}
+	length, _ := strconv.Atoi(string(found[1]) + string(found[2]))
+	return length > upstream.Whole
+}
+
 // wholeAttempt reads the first attempt of what was written, of either protocol; size 0: it is not whole yet.
 func wholeAttempt(text []byte) (a seenAttempt, size int) {
 	line, _, found := bytes.Cut(text, []byte("\r\n"))
