Log failed attempts and disbelieved answers with their connection, count why connections end

Change: 'attempt failed' (request, host, outcome, connection, number of the exchange on it, cause) and 'answer not believed' (cause, connection, time since its last answer) in the log, twenty of each between two reports; counts of closed connections by reason and of disbelieved answers by cause in 'traffic' and at the admin API. Late answers use the same limit of lines.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -306,7 +307,11 @@
 	LateAnswers        int64 // answers written after their requests' deadlines
 	// LongestHandling is the longest time for which the processing of one event blocked all other decisions.
 	LongestHandling time.Duration
-	Fleet           *FleetTelemetry // nil if this balancer does not communicate with other balancers
+	// ConnectionsClosed counts closed connections to hosts by reason, AnswersNotBelieved the data from hosts that was not taken as the
+	// answer to an attempt, by cause.
+	ConnectionsClosed, AnswersNotBelieved map[string]int64
+
+	Fleet *FleetTelemetry // nil if this balancer does not communicate with other balancers
 }
 
 // Product holds the numbers of final answers given to one product's requests, by kind.
@@ -344,11 +349,21 @@
 	} {
 		fmt.Fprintf(&buf, "# TYPE %s %s\n%s %d\n", metric.name, metric.kind, metric.name, metric.value)
 	}
+	writeLabelled(&buf, "app_connections_closed_total", "reason", t.ConnectionsClosed)
+	writeLabelled(&buf, "app_answers_not_believed_total", "cause", t.AnswersNotBelieved)
 	if t.Fleet != nil {
 		t.Fleet.writeMetrics(&buf)
 	}
 	return buf.Bytes()
 }
 
+// writeLabelled writes one counter for each value of a label, in their order.
+func writeLabelled(buf *bytes.Buffer, name, label string, counts map[string]int64) {
+	fmt.Fprintf(buf, "# TYPE %s counter\n", name)
+	for _, value := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(buf, "%s{%s=\"%s\"} %d\n", name, label, labelEscaper.Replace(value), counts[value])
+	}
+}
+
 // labelEscaper escapes label values as the Prometheus text format requires.
 var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
--- a/internal/balancer/answer_stats.go
+++ b/internal/balancer/answer_stats.go
@@ -54,6 +54,8 @@
 			RateLimited: counts[rateLimited].Load(), Errored: counts[errored].Load()})
 	}
 	a.b.callPolicy(func() { telemetry.HostsListed, telemetry.HostsAvoided = a.b.policy.HostCounts() })
+	upstreamStats := a.b.hosts.Stats()
+	telemetry.ConnectionsClosed, telemetry.AnswersNotBelieved = upstreamStats.Closed, upstreamStats.Unattributed
 	telemetry.Fleet = a.b.fleetStats()
 	return telemetry
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -63,6 +63,7 @@
 	maxValueBytes   atomic.Int64
 	traffic         trafficStats
 	delays          delayStats
+	failureLog      failureLog
 	answerStats     *answerStats
 	upgrade         upgradeLink
 	exclusions      exclusionStore
@@ -93,6 +94,7 @@
 		hosts: upstream.New(upstream.Config{Pool: operatorFile.Connections.PoolConfig(pool.Config{Balancers: deployed.PolicyConfig.Balancers,
 			MaxConnections: upstreamSockets, IdleTimeout: policy.Nanos(deployed.IdleTimeout)}), OriginMaxConnections: maxAttemptsToOrigin, ConnectTimeout: deployed.ConnectTimeout, LoadReports: deployed.LoadReports,
 			Grace: grace, Now: epochNanos}, deployed.PolicyConfig.OriginKind)}
+	b.hosts.OnUnattributed = b.logUnattributed
 	b.mu.handle = b.handleEvent
 	b.startTimes = newStartTimes(time.Now)
 	b.exclusions.save = handover.Save
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -105,6 +105,7 @@
 			c.inFlight--
 			c.mayHaveRun = c.mayHaveRun || policy.MayHaveRun(e.Outcome)
 			b.observeAttempt(c, e)
+			b.logAttemptEnd(c, e)
 			claimed := e.Outcome == policy.Fulfilled && c.claimAnswer()
 			b.reportAttemptEnd(c, e)
 			if claimed {
--- a/internal/balancer/delays.go
+++ b/internal/balancer/delays.go
@@ -35,13 +35,10 @@
 	handling, waiting peakDuration
 	lateAnswers       atomic.Int64 // answers written after the deadline
 	lateBy            peakDuration // how long after it
-	lateLogged        atomic.Int64 // late answers logged since the last report
+	lateLogged        lineLimit    // of late answers
 	answeredByTimer   atomic.Int64 // answers by the request's deadline timer, as the policy had not decided in time
 }
 
-// maxLateLogged bounds the late answers that are logged one by one between two reports.
-const maxLateLogged = 20
-
 // milliseconds converts a duration to the unit used in the log.
 func milliseconds(span time.Duration) float64 { return float64(span.Microseconds()) / 1000 }
 
@@ -53,7 +50,7 @@
 	}
 	b.delays.lateAnswers.Add(1)
 	b.delays.lateBy.record(late)
-	if b.delays.lateLogged.Add(1) > maxLateLogged {
+	if !b.delays.lateLogged.allow() {
 		return
 	}
 	b.log.Warn().Str("request", string(c.ID)).Stringer("answer", answer).Int("attempts", len(c.attempts)).
--- a/internal/balancer/traffic_stats.go
+++ b/internal/balancer/traffic_stats.go
@@ -31,7 +31,7 @@
 		t.hosts[host] = h
 	}
 	h[0]++
-	if outcome != policy.Fulfilled && outcome != policy.CacheMiss && outcome != policy.Cancelled && outcome != policy.NeverSent {
+	if hasFailed(outcome) {
 		h[1]++
 	}
 }
@@ -64,8 +64,9 @@
 		}
 	}
 	t, d := &b.traffic, &b.delays
-	d.lateLogged.Store(0)
-	b.log.Info().Uint64("taken", b.requestCount.Load()).Int64("fulfilled", t.fulfilled.Load()).
+	d.lateLogged.reset()
+	b.failureLog.reset()
+	b.appendConnections(b.log.Info()).Uint64("taken", b.requestCount.Load()).Int64("fulfilled", t.fulfilled.Load()).
 		Int64("rate_limited", t.rateLimited.Load()).Int64("errored", t.errored.Load()).
 		Int64("abandoned", t.abandoned.Load()).Dict("shots", byOutcome).Int64("in_hand", b.inFlight.Load()).
 		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,10 +35,16 @@
 	RoomNeeded                        // closed to make room for a connection to another host
 	PoolClosed                        // the pool is closed
 	LocalFault                        // this machine could not open a connection recently, because of a local fault
+	EndedByHost                       // the host closed or reset the connection while it was idle
+	UnexpectedData                    // the host sent data that belongs to no attempt
+	Unfinished                        // the last attempt ended without a complete answer that was made for it
+	NotKept                           // the last answer ends the connection
+	ReasonCount                       // number of reasons
 )
 
 func (w Reason) String() string {
-	return [...]string{"unknown", "leaving", "full", "budget", "late", "no_connect", "idle", "age", "surplus", "room", "shut", "local"}[w]
+	return [...]string{"unknown", "leaving", "full", "budget", "late", "no_connect", "idle", "age", "surplus", "room", "shut", "local",
+		"host_ended", "unexpected_data", "unfinished", "not_kept"}[w]
 }
 
 // Actions are how a Pool acts; its user implements them. A call takes effect at once and must not call back into the Pool.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 	id          pool.Conn
 	hosts       *Hosts
 	host        *host
+	hostID      policy.HostID
 	addr        string
 	cancel      context.CancelFunc // cancels its dial
 	net         net.Conn
@@ -33,6 +34,10 @@
 	idle       bool     // its goroutine waits in a read for the next attempt
 	closing    bool     // the pool has removed the connection
 	unfinished bool     // the last attempt left the connection unusable, for example without its answer
+
+	// Used by its goroutine only.
+	exchanges  int       // attempts written so far, counting one whose write failed
+	answeredAt time.Time // when the last complete answer had been read; zero before the first
 }
 
 // run dials and serves attempts until the connection ends.
@@ -80,8 +85,8 @@
 			hs.pool.Rejected(hs.now(), c.id)
 		}
 		c.unfinished = !keep
-		if !keep || c.reader.Buffered() > 0 { // unexpected data belongs to no attempt
-			hs.pool.Closed(hs.now(), c.id)
+		if why := c.endReason(r, keep); why != pool.Unknown {
+			c.ended(why)
 			c.closing = true
 		} else {
 			hs.pool.Freed(hs.now(), c.id)
@@ -89,6 +94,26 @@
 	}
 }
 
+// endReason returns why the connection cannot be reused after an attempt, or Unknown if it can.
+func (c *conn) endReason(r Result, keep bool) pool.Reason {
+	switch {
+	case keep && c.reader.Buffered() > 0:
+		c.report(UnexpectedData, nil, nil)
+		return pool.UnexpectedData
+	case keep:
+		return pool.Unknown
+	case r.Err == nil && r.Exchange > 0:
+		return pool.NotKept
+	}
+	return pool.Unfinished
+}
+
+// ended tells the pool that the connection cannot be used any more. The caller holds hosts.mu.
+func (c *conn) ended(why pool.Reason) {
+	c.hosts.closed[why]++
+	c.hosts.pool.Closed(c.hosts.now(), c.id)
+}
+
 // exchange writes an attempt and reads its answer. It returns the result, whether the last byte of the attempt was written, and
 // whether the connection can be reused.
 func (c *conn) exchange(a *Attempt) (r Result, written, keep bool) {
@@ -106,8 +131,9 @@
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
 	began := time.Now()
-	if outcome := c.write(a, announced); outcome != policy.Fulfilled {
-		return Result{Outcome: outcome}, false, false
+	c.exchanges++
+	if outcome, err := c.write(a, announced); outcome != policy.Fulfilled {
+		return c.describe(Result{Outcome: outcome}, err), false, false
 	}
 	var clientTime time.Duration
 	if a.Upload != nil {
@@ -121,10 +147,19 @@
 	case isConnectionError(err):
 		r = Result{Outcome: policy.Reset}
 	case err != nil:
+		c.reportDisbelieved(a, err)
 		r = Result{Outcome: policy.MalformedAnswer}
+	default:
+		c.answeredAt = time.Now()
 	}
 	r.ClientTransferTime += clientTime
-	return r, true, keep && err == nil
+	return c.describe(r, err), true, keep && err == nil
+}
+
+// describe adds the connection and the error, if there was one, to the result of an attempt that was written.
+func (c *conn) describe(r Result, err error) Result {
+	r.Connection, r.Exchange, r.Err = c.id, c.exchanges, err
+	return r
 }
 
 // maxUnblockedWrite is the number of bytes that an idle connection accepts without blocking: the system's socket buffers are larger.
@@ -156,8 +191,8 @@
 }
 
 // write sends an attempt and the remaining time announced to the host. It returns Fulfilled if the last byte was written, that is,
-// if the attempt may run.
-func (c *conn) write(a *Attempt, announced time.Duration) policy.Outcome {
+// if the attempt may run, and otherwise why it was not.
+func (c *conn) write(a *Attempt, announced time.Duration) (policy.Outcome, error) {
 	if len(a.Value) > maxUnblockedWrite { // a write that is incomplete by then is abandoned
 		c.net.SetWriteDeadline(a.LatestStart.First(deadline.After(time.Now(), a.transferTime())).Time())
 		defer c.net.SetWriteDeadline(time.Time{})
@@ -198,15 +233,16 @@
 	}
 	switch {
 	case n == total:
-		return policy.Fulfilled
+		return policy.Fulfilled, nil
 	case isLocal(err):
-		return policy.NeverSent
+		return policy.NeverSent, err
 	}
-	return policy.ConnectFailed
+	return policy.ConnectFailed, err
 }
 
 var (
 	errInvalidAnswer = errors.New("not an answer to this attempt")
+	errForeignID     = errors.New("answer with the id of another request")
 	errNoMemory      = errors.New("no memory for the value")
 )
 
@@ -240,8 +276,11 @@
 	case memcache.Receipt:
 		r.Body = append(r.Body, answer.Receipt...)
 	}
-	// The answer must be complete, carry this command's id and be of the kind that the command expects.
-	if string(answer.ID) != string(a.Command.ID) || answer.Reply != memcache.Miss && (answer.Reply == memcache.Receipt) != a.Command.Write ||
+	if string(answer.ID) != string(a.Command.ID) {
+		return r, false, errForeignID
+	}
+	// The answer must be complete and of the kind that the command expects.
+	if answer.Reply != memcache.Miss && (answer.Reply == memcache.Receipt) != a.Command.Write ||
 		answer.Reply == memcache.Receipt && !memcache.IsReceipt(answer.Receipt) {
 		return r, false, errInvalidAnswer
 	}
@@ -320,7 +359,12 @@
 	}
 	// The host closed the connection or sent unexpected data. An attempt that was assigned meanwhile is sent over another
 	// connection: none of its bytes was written.
-	hs.pool.Closed(hs.now(), c.id)
+	why := pool.EndedByHost
+	if err == nil {
+		why = pool.UnexpectedData
+		c.report(UnexpectedData, nil, nil)
+	}
+	c.ended(why)
 	if a != nil {
 		hs.send(a)
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -110,23 +110,23 @@
 }
 
 // writeUpload writes a long value while it arrives from the client. The outcome is Fulfilled if the last byte was written.
-func (c *conn) writeUpload(a *Attempt, announced time.Duration) policy.Outcome {
+func (c *conn) writeUpload(a *Attempt, announced time.Duration) (policy.Outcome, error) {
 	defer close(a.Upload.Done)
 	a.Upload.announced = announced
 	to := ExtendingConn{c.net}
 	if _, err := to.Write(c.writeBuffer); err != nil {
-		return policy.ConnectFailed
+		return policy.ConnectFailed, err
 	}
 	if readerFault, err := Copy(to, a.Upload.Reader, a.Upload.Length); readerFault {
-		return policy.NeverSent // the client failed, not the host
+		return policy.NeverSent, err // the client failed, not the host
 	} else if err != nil {
-		return policy.ConnectFailed
+		return policy.ConnectFailed, err
 	}
 	if !c.host.isOrigin {
 		if _, err := io.WriteString(to, "\r\n"); err != nil {
-			return policy.ConnectFailed
+			return policy.ConnectFailed, err
 		}
 	}
 	c.net.SetReadDeadline(a.Upload.Deadline.Time())
-	return policy.Fulfilled
+	return policy.Fulfilled, nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,9 @@
 	Load               *policy.LoadReport // load of the host, if its answers report it
 	Body               []byte             // the value or the receipt of a write; empty for a value that was streamed
 	ClientTransferTime time.Duration      // part of the attempt's time that transferring a long value from or to the client took
+	Connection         pool.Conn          // connection that the attempt was written to; 0 if it was not
+	Exchange           int                // number of the attempt among those written to the connection, from 1 on
+	Err                error              // what was wrong with the connection or the answer, where that is known
 }
 
 // Attempt is one sending of a request to a host. It ends exactly once, by a call of Done, which must not block.
@@ -102,16 +105,21 @@
 	epoch  time.Time
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error) // may be replaced before the first attempt
 
+	// OnUnattributed is called with data that a host sent for no attempt; it must not block. It may be set before the first attempt.
+	OnUnattributed func(Unattributed)
+
 	mu       sync.Mutex
 	pool     *pool.Pool
 	byID     map[policy.HostID]*host
 	conns    map[pool.Conn]*conn
 	attempts map[pool.Attempt]*Attempt // attempts that the pool has neither sent nor refused yet
 	lastID   pool.Attempt
-	closed   chan struct{}          // closed by Close
+	done     chan struct{}          // closed by Close
 	excluded map[policy.HostID]bool // hosts excluded by an operator
 
-	sent                atomic.Int64  // attempts completely written, including those to the origin
+	sent                atomic.Int64 // attempts completely written, including those to the origin
+	closed              closeStats
+	unattributed        [causeCount]atomic.Int64
 	maxWriteAfterNotice time.Duration // longest time from a host's notice to a write that was still allowed; guarded by mu
 }
 
@@ -125,7 +133,7 @@
 // New creates an empty set of hosts. Discovery lists the origin with the given kind.
 func New(config Config, origin policy.MachineKind) *Hosts {
 	hs := &Hosts{config: config, origin: origin, epoch: time.Now(), Dial: (&net.Dialer{}).DialContext, byID: map[policy.HostID]*host{}, conns: map[pool.Conn]*conn{},
-		attempts: map[pool.Attempt]*Attempt{}, excluded: map[policy.HostID]bool{}, closed: make(chan struct{})}
+		attempts: map[pool.Attempt]*Attempt{}, excluded: map[policy.HostID]bool{}, done: make(chan struct{})}
 	hs.pool = pool.New(poolActions{hs}, config.Pool, rand.Float64)
 	go hs.tick()
 	return hs
@@ -144,7 +152,7 @@
 			hs.mu.Lock()
 			hs.pool.Tick(hs.now())
 			hs.mu.Unlock()
-		case <-hs.closed:
+		case <-hs.done:
 			return
 		}
 	}
@@ -268,7 +276,7 @@
 func (o poolActions) Open(to pool.Host, id pool.Conn) {
 	h := o.hs.byID[policy.HostID(to)]
 	ctx, cancel := context.WithTimeout(context.Background(), o.hs.config.ConnectTimeout)
-	c := &conn{id: id, hosts: o.hs, host: h, addr: h.Addr, cancel: cancel}
+	c := &conn{id: id, hosts: o.hs, host: h, hostID: h.HostID, addr: h.Addr, cancel: cancel}
 	h.open++
 	o.hs.conns[id] = c
 	go c.run(ctx)
@@ -283,8 +291,9 @@
 	}
 }
 
-func (o poolActions) Close(id pool.Conn, _ pool.Reason) {
+func (o poolActions) Close(id pool.Conn, why pool.Reason) {
 	c := o.hs.conns[id]
+	o.hs.closed[why]++
 	c.closing = true
 	c.cancel()
 	if c.idle {
@@ -367,5 +376,5 @@
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	hs.pool.Close()
-	close(hs.closed)
+	close(hs.done)
 }
