Reproduce answers served that were made for another request, failing, on real processes

Reproduction: one balancer process, one cache host that misses, an origin behind a proxy that sends a third of its answers a second time on the same connection, up to 10 ms late or just as the next request comes. 8 clients, 320 requests a run.

--- /dev/null
+++ b/cmd/streamrail/second_answer_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// repeater is a proxy in front of a server. It sends a share of the server's answers a second time on the same connection.
+type repeater struct {
+	addr, target string
+	second       func(answer []byte) []byte // the second answer to a request; nil for none
+	delay        time.Duration              // the longest time after the first answer; 0: just after the next request has arrived
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// newRepeater starts a proxy in front of target that repeats answers as drawn from the seed.
+func newRepeater(t *testing.T, target string, seed uint64, delay time.Duration, second func(answer []byte) []byte) *repeater {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &repeater{addr: l.Addr().String(), target: target, second: second, delay: delay, random: rand.New(rand.NewPCG(seed, 0))}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(c)
+		}
+	}()
+	return p
+}
+
+// forward serves one connection. The stand-ins write each answer at once, so what one read returns is one answer.
+func (p *repeater) forward(front net.Conn) {
+	defer front.Close()
+	back, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer back.Close()
+	var mu sync.Mutex // guards held
+	var held []byte   // second answer, to be sent after the next request
+	go func() {
+		defer front.Close()
+		in := make([]byte, 1<<16)
+		for {
+			n, err := back.Read(in)
+			if err != nil {
+				return
+			}
+			front.Write(in[:n])
+			second := p.drawSecond(in[:n])
+			switch {
+			case len(second) == 0:
+			case p.delay == 0:
+				mu.Lock()
+				held = second
+				mu.Unlock()
+			default:
+				time.AfterFunc(p.drawDelay(), func() { front.Write(second) })
+			}
+		}
+	}()
+	in := make([]byte, 1<<16)
+	for {
+		n, err := front.Read(in)
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		front.Write(held)
+		held = nil
+		mu.Unlock()
+		if _, err = back.Write(in[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// drawSecond draws whether an answer is followed by a second one, in a third of the cases, and returns it.
+func (p *repeater) drawSecond(answer []byte) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.random.IntN(3) > 0 {
+		return nil
+	}
+	return p.second([]byte(string(answer)))
+}
+
+func (p *repeater) drawDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.random.Int64N(int64(p.delay)))
+}
+
+// sameAgain is a second answer that equals the first.
+func sameAgain(answer []byte) []byte { return answer }
+
+// effects records which requests a server has executed.
+type effects struct {
+	mu  sync.Mutex
+	ran map[string]int // times, by request id
+}
+
+func (e *effects) execute(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ran[id]++
+}
+
+func (e *effects) count(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ran[id]
+}
+
+// madeFor returns the value or the receipt that the servers make for a request.
+func madeFor(id string) string { return "made-for-" + id }
+
+// runClients lets clients send requests for a while, each with a pause between two of them, and returns the number of those that
+// were served.
+func (e *effects) runClients(t *testing.T, p *balancerProcess, seed uint64, request func(n int, id string) string) (served int) {
+	const clients, requestsEach = 8, 40
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for n := range clients {
+		c, random := p.dial(t), rand.New(rand.NewPCG(seed, uint64(n)))
+		all.Go(func() {
+			for i := range requestsEach {
+				id := fmt.Sprintf("c%dr%d", n, i)
+				got := c.ask(request(random.IntN(3), id))
+				switch runs := e.count(id); {
+				case strings.HasPrefix(got, "VA ") || strings.HasPrefix(got, "HD "):
+					mu.Lock()
+					served++
+					mu.Unlock()
+					if value := madeFor(id); got != fmt.Sprintf("VA %d O%s|%s", len(value), id, value) && got != "HD O"+id+" c"+value {
+						t.Errorf("request %s was served %q, expected %q", id, got, value)
+					}
+				case strings.HasPrefix(got, "SERVER_ERROR busy") && runs > 0:
+					t.Errorf("request %s was refused as if it had not run, and it ran", id)
+				case !strings.HasPrefix(got, "SERVER_ERROR "):
+					t.Errorf("request %s got %q", id, got)
+				}
+				if runs := e.count(id); runs > 1 {
+					t.Errorf("request %s ran %d times", id, runs)
+				}
+				time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+	return served
+}
+
+// An origin's answers have no id. A second answer to a request must not be served to, nor be believed about, the request that
+// follows on the connection.
+func TestSecondAnswerOfOriginBelieved(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"some milliseconds late": 10 * time.Millisecond, "as the next request comes": 0} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				executed := &effects{ran: map[string]int{}}
+				o := newOrigin(t, func(w http.ResponseWriter, r *http.Request) {
+					id := r.Header.Get("X-Request-ID")
+					if io.Copy(io.Discard, r.Body); len(id)%2 == 0 && strings.HasSuffix(id, "3") {
+						w.Header().Set("X-Not-Processed", "1")
+						w.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+					executed.execute(id)
+					io.WriteString(w, madeFor(id))
+				})
+				go func() {
+					for range o.requests {
+					}
+				}()
+				d := newDiscoveryServer(t)
+				h := newHost(t, "h", answerMiss)
+				d.setHost(h.id, h.addr, "cache", "active")
+				d.setHost("origin", newRepeater(t, serverAddr(o.Server), seed, delay, sameAgain).addr, "origin", "active")
+				p := launchServing(t, deploymentConfig(d, freeAddr(t), nil))
+				served := executed.runClients(t, p, seed, func(n int, id string) string {
+					return []string{getRequest("k", id, 900), putRequest("pay", "k", id, 900), strings.Replace(getRequest("k", id, 900), "c=read", "c=pay", 1)}[n]
+				})
+				if served < 100 {
+					t.Errorf("%d requests were served, expected 100 or more", served)
+				}
+			})
+		}
+	}
+}
