Carry one request on each connection to the origin, whose answers have no id

Cause: an answer of the origin is tied to its request by its place on the connection alone, and conn.readOrigin kept the connection after each answer. A second answer to the earlier request (a copy that comes some milliseconds late) that met a request just written was taken for its answer; the real one was then taken for the request after it. Change: a connection to the origin ends with the first answer. No earlier exchange can answer on it. Waiting before reuse was a measured candidate and only makes the fault rarer.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -38,7 +38,7 @@
 	EndedByHost                       // the host closed or reset the connection while it was idle
 	UnexpectedData                    // the host sent data that belongs to no attempt
 	Unfinished                        // the last attempt ended without a complete answer that was made for it
-	NotKept                           // the last answer ends the connection
+	NotKept                           // the last answer has no id, so a second one could not be told from the answer to a later attempt
 	ReasonCount                       // number of reasons
 )
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,7 +33,7 @@
 	next       *Attempt // the attempt to send next
 	idle       bool     // its goroutine waits in a read for the next attempt
 	closing    bool     // the pool has removed the connection
-	unfinished bool     // the last attempt left the connection unusable, for example without its answer
+	unfinished bool     // the last attempt ended without a complete answer
 
 	// Used by its goroutine only.
 	exchanges  int       // attempts written so far, counting one whose write failed
@@ -84,8 +84,8 @@
 		if first && (r.Outcome == policy.Rejected || r.Outcome == policy.Reset) {
 			hs.pool.Rejected(hs.now(), c.id)
 		}
-		c.unfinished = !keep
 		if why := c.endReason(r, keep); why != pool.Unknown {
+			c.unfinished = why == pool.Unfinished
 			c.ended(why)
 			c.closing = true
 		} else {
@@ -315,6 +315,8 @@
 	return nil
 }
 
+// readOrigin reads an answer of the origin. It has no id, so on a connection that carried an earlier attempt it could be a second
+// answer to that one: the connection is not reused.
 func (c *conn) readOrigin(a *Attempt) (r Result, keep bool, err error) {
 	maxBuffered := MaxBufferedBytes
 	if a.Command.Write {
@@ -325,8 +327,8 @@
 		return r, false, err
 	}
 	if resp.UnreadLength > 0 {
-		r, keep, err = c.streamValue(a, r, resp.UnreadLength, func() error { return nil })
-		return r, keep && !resp.Close, err
+		r, _, err = c.streamValue(a, r, resp.UnreadLength, func() error { return nil })
+		return r, false, err
 	}
 	switch {
 	case resp.Status == 200 && (!a.Command.Write || memcache.IsReceipt(resp.Body)):
@@ -336,7 +338,7 @@
 	default:
 		r.Outcome = policy.Errored
 	}
-	return r, !resp.Close, nil
+	return r, false, nil
 }
 
 // waitForAttempt waits until the pool assigns an attempt to the connection. It returns nil if the connection ended first. The caller
