Reproduce a stale refusal that lets a write run twice, failing, on real processes

Seen by callers: a write that must not run twice ran twice, or was answered 'busy', as if it had not run, and it ran. Reproduction: three cache hosts that take writes, each behind a proxy that sends a third of the answers again, or a 'busy' line after a third of them, up to 10 ms late or just as the next request comes. Cause: the same as at the origin; SERVER_ERROR lines have no id either.

--- a/cmd/streamrail/second_answer_test.go
+++ b/cmd/streamrail/second_answer_test.go
@@ -202,3 +202,38 @@
 		}
 	}
 }
+
+// A cache host's refusal has no id and promises that the request never ran. One that could belong to an earlier request must not
+// allow another attempt of a write that must not run twice, nor be passed on to the client.
+func TestStaleRefusalBelieved(t *testing.T) {
+	refusal := func([]byte) []byte { return []byte("SERVER_ERROR busy\r\n") }
+	for name, second := range map[string]func([]byte) []byte{"the same again": sameAgain, "a refusal after any answer": refusal} {
+		for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, ", late by ", delay), func(t *testing.T) {
+				t.Parallel()
+				executed := &effects{ran: map[string]int{}}
+				d := newDiscoveryServer(t)
+				for n := range 3 {
+					h := newHost(t, fmt.Sprint("h", n), func(cmd command) string {
+						switch {
+						case cmd.fields[0] == "ms" && strings.HasSuffix(cmd.id, fmt.Sprint(n)):
+							return string(refusal(nil))
+						case cmd.fields[0] == "ms":
+							executed.execute(cmd.id)
+							return "HD O" + cmd.id + " c" + madeFor(cmd.id) + "\r\n"
+						}
+						return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(madeFor(cmd.id)), cmd.id, madeFor(cmd.id))
+					})
+					d.setHost(h.id, newRepeater(t, h.addr, uint64(n), delay, second).addr, "cache", "active")
+				}
+				p := launchServing(t, deploymentConfig(d, freeAddr(t), readWriteThrough))
+				served := executed.runClients(t, p, 1, func(n int, id string) string {
+					return []string{getRequest(id, id, 900), putRequest("pay", id, id, 900), putRequest("pay", id, id, 900)}[n]
+				})
+				if served < 100 {
+					t.Errorf("%d requests were served, expected 100 or more", served)
+				}
+			})
+		}
+	}
+}
