Reproduce an older list that brings back a host that is gone, failing, on real processes

Seen: requests are sent to a host that discovery took off the list over a second before (drain). Reproduction: discovery behind a proxy that sends its first whole list again after a third of its answers, up to 10 ms late or as the next call comes; one of two hosts is taken off the list. One earlier run of the test hung in the stand-in: the balancer had called for changes over a thousand times (each stale list sends it back to a generation that is answered at once), so the stand-in's queue of calls was full; the test empties it now. Another earlier run hung at its end, as the stand-in does not notice a close behind a queued call. Cause: Watch.poll takes a whole list of an earlier generation on a connection that it uses again; CompleteFrom keeps what is leaving, not what is gone.

--- a/cmd/streamrail/second_answer_test.go
+++ b/cmd/streamrail/second_answer_test.go
@@ -93,10 +93,11 @@
 func (p *repeater) drawSecond(answer []byte) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	second := p.second([]byte(string(answer)))
 	if p.random.IntN(3) > 0 {
 		return nil
 	}
-	return p.second([]byte(string(answer)))
+	return second
 }
 
 func (p *repeater) drawDelay() time.Duration {
@@ -237,3 +238,54 @@
 		}
 	}
 }
+
+// A list that discovery sends a second time may be older than what is known. It must not bring back a host that is gone.
+func TestStaleListBelieved(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"some milliseconds late": 10 * time.Millisecond, "as the next request comes": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			kept, gone := newHost(t, "kept", answerHit), newHost(t, "gone", answerHit)
+			d := newDiscoveryServer(t)
+			t.Cleanup(func() { // ends the polls that are still queued behind others on a connection
+				go func() {
+					for range 100 {
+						d.setHost("kept", kept.addr, "cache", "active")
+						time.Sleep(10 * time.Millisecond)
+					}
+				}()
+			})
+			d.setHost("kept", kept.addr, "cache", "active")
+			d.setHost("gone", gone.addr, "cache", "active")
+			var first []byte
+			proxy := newRepeater(t, serverAddr(d.Server), 1, delay, func(answer []byte) []byte {
+				if first == nil && strings.Contains(string(answer), `"reset":true`) {
+					first = answer
+				}
+				return first
+			})
+			config := deploymentConfig(d, freeAddr(t), readWriteThrough)
+			config["discovery"] = proxy.addr
+			p := launchServing(t, config)
+			c := p.dial(t)
+			d.setHost("gone", gone.addr, "cache", "left")
+			d.waitForWatch(t)
+			go func() {
+				for range d.watchedFrom {
+				}
+			}()
+			time.Sleep(time.Second) // the grace
+			before := gone.count()
+			for i := range 200 {
+				if i%10 == 0 {
+					d.setHost("kept", kept.addr, "cache", "active")
+				}
+				key := fmt.Sprint("key", i)
+				expect(t, c.ask(getRequest(key, fmt.Sprint("r", i), 900)), fmt.Sprintf("VA %d Or%d|value of %s", len("value of "+key), i, key))
+				time.Sleep(10 * time.Millisecond)
+			}
+			if n := gone.count() - before; n > 0 {
+				t.Errorf("%d requests were sent to a host that has been gone for a second", n)
+			}
+		})
+	}
+}
