Take an older list from discovery only as the first answer on a connection

Seen: requests went to a host that discovery had taken off the list over a second before, and discovery was called without a pause. Cause: discovery's connection is used for many calls, and Watch.poll took a whole list of an earlier generation on it. A second answer to an earlier call is such a list: it brought back hosts that were gone, and the call that was still out kept the next answer back. Change: a whole list older than the one known is taken only as the first response on a connection (a discovery that lost its state is still followed so); else the same call is made on a new one. Data behind a response, and a change without a name, whose whole list is asked for, end the connection.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -102,6 +102,7 @@
 	conn         net.Conn
 	reader       *bufio.Reader
 	timed        *timedConn
+	calls        int // calls written to the connection
 	generation   int64
 	watching     bool // polls for changes instead of a snapshot
 	lastUnusable bool // the last response could not be used
@@ -115,6 +116,9 @@
 // unusableError marks a response that arrived but cannot be used.
 type unusableError struct{ error }
 
+// staleError marks a response that may be a second one to an earlier call on the connection.
+type staleError struct{ error }
+
 // Next waits for the next response, which may contain no hosts. After an unusable response the next call requests a snapshot.
 // After a call that failed it does not: the known list is still valid, and if all balancers kept requesting snapshots, a
 // discovery service that was overloaded for a moment would stay overloaded.
@@ -126,6 +130,9 @@
 		if errors.As(err, &unusableError{}) {
 			retryNow, w.watching, w.lastUnusable = !w.lastUnusable, false, true
 		}
+		if errors.As(err, &staleError{}) { // the same call on a new connection tells
+			retryNow, w.lastUnusable = !w.lastUnusable, true
+		}
 		switch {
 		case !w.HasList || !retryNow:
 		case w.lastUnusable:
@@ -139,6 +146,7 @@
 	w.lastUnusable = false
 	if !l.Snapshot && slices.ContainsFunc(l.Unusable, func(u UnusableEntry) bool { return u.HostID == "" }) {
 		w.watching = false // a change of an unidentified host; a snapshot may name it
+		w.Close()          // an older snapshot is believed only as the first response on a connection
 	}
 	return l, nil
 }
@@ -194,7 +202,9 @@
 		}
 		w.timed = &timedConn{Conn: w.conn}
 		w.reader = bufio.NewReader(w.timed)
+		w.calls = 0
 	}
+	w.calls++
 	conn, timed := w.conn, w.timed
 	timed.readTimeout = 0
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
@@ -223,13 +233,15 @@
 	}
 	l.ReceivedAt = firstByteAt
 	switch {
+	case l.olderThan(w.generation) && w.calls > 1:
+		return l, staleError{fmt.Errorf("got a list of generation %d after generation %d on the same connection", l.Generation, w.generation)}
 	case l.Snapshot:
 	case !w.watching:
 		return l, unusableError{errors.New("got changes, expected a snapshot")}
 	case l.Generation < w.generation: // another discovery server, or one that lost its state
 		return l, unusableError{fmt.Errorf("got changes of generation %d after generation %d", l.Generation, w.generation)}
 	}
-	if response.Close {
+	if response.Close || w.reader.Buffered() > 0 { // data after the response belongs to no call
 		w.Close()
 	}
 	return l, nil
