Keep a host known that comes back while a connection to its former address is opened

Seen: not by callers so far. Cause: Pool.HostUp closed the connections of the former process while the host still counted as leaving; with the last one removeIfUnused removed the host, and all attempts at it were refused as unknown until its entry changed again. Change: the host counts as up before its connections are closed. Measured: TestHostBackDuringOpeningStaysKnown failed before (attempt 2 refused as unknown) and passes.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -161,14 +161,16 @@
 		h = &host{id: id, startedAt: startedAt, fixedLimit: limit, tokensAt: now, shrunkAt: now}
 		h.tokens = p.openingBurst(h, now)
 		p.hosts[id] = h
-	} else if h.startedAt != startedAt || moved {
+		return
+	}
+	h.leaving = false // before connections are closed, which removes a leaving host
+	if h.startedAt != startedAt || moved {
 		h.processEpoch++
 		h.startedAt, h.learnedLimit, h.demand = startedAt, 0, demand{}
 		h.tokens, h.tokensAt = min(h.tokens, p.openingBurst(h, now)), now
 		p.clear(h, Leaving)
 		p.serveQueue(now, h)
 	}
-	h.leaving = false
 }
 
 // SetMaxConnections changes the maximum number of connections. Connections beyond it are closed as they come free.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -452,3 +452,14 @@
 		}
 	})
 }
+
+// A host that comes back at another address while a connection to the former one is still being opened must stay known.
+func TestHostBackDuringOpeningStaysKnown(t *testing.T) {
+	w := newTestPool(Config{MaxConnections: 2}, 1)
+	w.p.HostUp(0, "a", 0, false, 0)
+	w.checkout("a", s)
+	w.p.HostLeaving("a")
+	w.p.HostUp(0, "a", 0, true, 0)
+	w.checkout("a", s)
+	w.expect(t, "open a1 refuse 1 leaving close 1 leaving open a2")
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -37,17 +37,17 @@
 type Outcome int
 
 const (
-	Fulfilled       Outcome = iota
-	Errored                 // the receiver answered with an error; the request may have run
-	Rejected                // the receiver was full and did not run the request
-	TimedOut                // no answer by the deadline
-	ConnectFailed           // no connection, or it broke before the request was completely written
-	Reset                   // the connection broke after that and before a complete answer
-	Cancelled               // cancelled after the request was completely written
-	NeverSent               // ended before the request was completely written, for a reason other than the receiver
-	CacheMiss               // the cache host does not have the key
-	MalformedAnswer         // the answer is malformed; the request may have run
-	UnprovenRejection       // a refusal without an id that may belong to an earlier attempt; the request may have run
+	Fulfilled         Outcome = iota
+	Errored                   // the receiver answered with an error; the request may have run
+	Rejected                  // the receiver was full and did not run the request
+	TimedOut                  // no answer by the deadline
+	ConnectFailed             // no connection, or it broke before the request was completely written
+	Reset                     // the connection broke after that and before a complete answer
+	Cancelled                 // cancelled after the request was completely written
+	NeverSent                 // ended before the request was completely written, for a reason other than the receiver
+	CacheMiss                 // the cache host does not have the key
+	MalformedAnswer           // the answer is malformed; the request may have run
+	UnprovenRejection         // a refusal without an id that may belong to an earlier attempt; the request may have run
 	Unknown
 )
 
