Open connections to the origin ahead, as each of them carries one request

Cause: since each connection to the origin carries one request, each request there waited for a connect: a round trip to another zone, or up to 1.5 s where connections come up late. Change: the pool keeps as many unused connections to such a host as a quarter of a second of its recent attempts needs, and a standard deviation; at its limit an attempt takes the one that is being opened. All limits hold as before, and no connection to another host is closed for it. The openings are no more than before, but for those that end unused.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -109,8 +109,9 @@
 	openingsWanted int       // openings that attempts asked for since the last call of OpeningsNeed
 	tokens         float64
 	tokensAt       policy.Nanos
-	fixedLimit     int // limit on connections given to HostUp; 0: none
-	learnedLimit   int // limit on connections learned from rejections; 0: none
+	fixedLimit     int  // limit on connections given to HostUp; 0: none
+	singleUse      bool // set by UseOnce
+	learnedLimit   int  // limit on connections learned from rejections; 0: none
 	learnedLimitAt policy.Nanos
 	demand         demand
 	minIdle        int // lowest number of idle connections since shrunkAt
@@ -230,9 +231,16 @@
 	h.demand.recordAttempt(now)
 	if c := p.idleConn(now, h); c != nil {
 		p.assign(now, c, a)
+		p.openSpares(now, h)
 		return
 	}
 	w := &waiter{attempt: a, host: h, expires: expires}
+	if c := p.openingSpare(h); c != nil {
+		w.opening, c.openedFor = c, w
+		p.enqueue(w)
+		p.openSpares(now, h)
+		return
+	}
 	why := p.makeRoom(now, h)
 	if why != Unknown && !p.mayWait(now, h, w) {
 		p.limitHits[id]++
@@ -242,10 +250,10 @@
 	if why != Unknown {
 		w.refuseAt = now + policy.Nanos(p.config.MaxWaitFraction*float64(expires-now))
 	}
-	h.queue = append(h.queue, w)
-	p.waiting[a] = w
+	p.enqueue(w)
 	if why == Unknown {
 		w.opening = p.startOpening(now, h, w)
+		p.openSpares(now, h)
 	}
 }
 
@@ -367,6 +375,12 @@
 	p.idleCount++
 }
 
+// enqueue adds an attempt to the queue of its host.
+func (p *Pool) enqueue(w *waiter) {
+	w.host.queue = append(w.host.queue, w)
+	p.waiting[w.attempt] = w
+}
+
 // dequeue removes an attempt from the queue. A connection being opened for it passes to the next waiting attempt that has none being
 // opened.
 func (p *Pool) dequeue(w *waiter) {
@@ -757,7 +771,7 @@
 	if mean == 0 {
 		return 0
 	}
-	return int(math.Ceil(mean + p.config.AheadDeviations*math.Sqrt(mean)))
+	return int(math.Ceil(mean+p.config.AheadDeviations*math.Sqrt(mean))) + p.spareTarget(now, h)
 }
 
 // meanDemand caches the mean demand of all hosts at one instant.
@@ -845,15 +859,22 @@
 
 // mean returns how many connections were in use on average.
 func (n *demand) mean(now policy.Nanos) float64 {
-	index, sum, first := now/demandSlotLength, 0.0, now
+	_, held, since := n.recent(now)
+	if since <= 0 {
+		return 0
+	}
+	return held / float64(since)
+}
+
+// recent returns the sums of the recent slots and the time that they cover so far.
+func (n *demand) recent(now policy.Nanos) (attempts, held float64, since policy.Nanos) {
+	index, first := now/demandSlotLength, now
 	for _, s := range n.slots {
 		if index-s.index < demandSlots && s.attempts+s.ended > 0 {
-			sum += s.held
+			attempts += s.attempts
+			held += s.held
 			first = min(first, s.index*demandSlotLength)
 		}
 	}
-	if now <= first {
-		return 0
-	}
-	return sum / float64(now-first)
+	return attempts, held, now - first
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -392,7 +392,11 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"up": func(t *rapid.T) {
-				w.p.HostUp(w.now, rapid.SampledFrom(hosts).Draw(t, "host"), policy.Nanos(rapid.IntRange(0, 2).Draw(t, "started at"))*s, rapid.Bool().Draw(t, "moved"), 0)
+				h := rapid.SampledFrom(hosts).Draw(t, "host")
+				w.p.HostUp(w.now, h, policy.Nanos(rapid.IntRange(0, 2).Draw(t, "started at"))*s, rapid.Bool().Draw(t, "moved"), 0)
+				if h == "c" {
+					w.p.UseOnce(h)
+				}
 			},
 			"leaves": func(t *rapid.T) { w.p.HostLeaving(rapid.SampledFrom(hosts).Draw(t, "host")) },
 			"ask": func(t *rapid.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -207,6 +207,9 @@
 		startedAt = max(1, cmp.Or(h.LocalStart, h.ListedStart)-hs.config.Now)
 	}
 	hs.pool.HostUp(now, pool.Host(h.HostID), startedAt, moved, limit)
+	if h.isOrigin {
+		hs.pool.UseOnce(pool.Host(h.HostID))
+	}
 }
 
 // Exclude takes a host out of use, on an operator's request. It is treated like a draining host, whatever the list says.
