Judge the origin by the time beyond its fastest recent answer

Cause: the limit of the origin fell when an answer took longer than the latency target, or half of it, counted from the decision. The way to another zone and the set-up of a new connection are part of that now with each request, and no lower limit shortens them. Change: the duration of an attempt at the origin counts for its limit less the fastest answer of the last 48 s.

--- a/policy/health.go
+++ b/policy/health.go
@@ -36,8 +36,12 @@
 // an attempt.
 func (b *Balancer) recordOutcome(h *cacheHost, r *request, e AttemptResult, a *attempt) {
 	now, slo, rejected := b.env.Now(), r.product.LatencySLO, e.Outcome == Rejected || e.Outcome == UnprovenRejection
-	good := (e.Outcome == Fulfilled || e.Outcome == CacheMiss) && e.Duration <= slo
-	bad := !good && !rejected && e.Outcome != NeverSent && (e.Outcome != Cancelled || e.Duration >= slo/2)
+	took := e.Duration
+	if h == b.origin {
+		took = b.originDelay(e)
+	}
+	good := (e.Outcome == Fulfilled || e.Outcome == CacheMiss) && took <= slo
+	bad := !good && !rejected && e.Outcome != NeverSent && (e.Outcome != Cancelled || took >= slo/2)
 	// Only outcomes that indicate overload reduce a limit. Malformed answers and broken connections occur at any
 	// load, and reducing limits for them rejected requests without need. A host that refuses connections, or
 	// returns an error faster than others answer, is not overloaded either: with half of the fleet gone and
@@ -59,7 +63,7 @@
 		h.backoff /= 2
 	}
 	if h == b.origin {
-		b.adaptLimit(h, slo, good, overloaded, rejected, 2*e.Duration.seconds()/slo.seconds())
+		b.adaptLimit(h, slo, good, overloaded, rejected, 2*took.seconds()/slo.seconds())
 		return
 	}
 	b.recordLoadReport(h, r, e)
--- a/policy/meter.go
+++ b/policy/meter.go
@@ -74,5 +74,35 @@
 	return lowest, ok
 }
 
+// windowedMinimum is the minimum of the durations of a sliding window.
+type windowedMinimum struct {
+	slots [meterSlotCount]struct {
+		index    Nanos
+		shortest Nanos
+	}
+}
+
+// minimumSlot is the length of a slot of a windowedMinimum; all slots cover 48 s, so that an overload does not become the minimum.
+const minimumSlot = 6 * Second
+
+// add takes a duration into account.
+func (m *windowedMinimum) add(now, duration Nanos) {
+	index := now / minimumSlot
+	s := &m.slots[index%meterSlotCount]
+	if s.shortest == 0 || s.index != index || duration < s.shortest {
+		s.index, s.shortest = index, duration
+	}
+}
+
+// get returns the shortest duration of the window, or 0 if there is none.
+func (m *windowedMinimum) get(now Nanos) (shortest Nanos) {
+	for _, s := range m.slots {
+		if now/minimumSlot-s.index < meterSlotCount && s.shortest > 0 && (shortest == 0 || s.shortest < shortest) {
+			shortest = s.shortest
+		}
+	}
+	return shortest
+}
+
 // seconds converts a span to seconds.
 func (n Nanos) seconds() float64 { return float64(n) / float64(Second) }
--- a/policy/origin.go
+++ b/policy/origin.go
@@ -18,3 +18,13 @@
 	}
 	b.send(r, o)
 }
+
+// originDelay returns the part of an attempt's duration beyond the fastest recent answer of the origin. The rest is the way
+// there and the set-up of the connection, which a lower limit would not shorten.
+func (b *Balancer) originDelay(e AttemptResult) Nanos {
+	now := b.env.Now()
+	if e.Outcome == Fulfilled {
+		b.originFastest.add(now, e.Duration)
+	}
+	return max(0, e.Duration-b.originFastest.get(now))
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,8 +17,9 @@
 	hosts     map[HostID]*cacheHost
 	// Cache hosts that are up and not excluded, in no order. The origin is never among them.
 	available       []*cacheHost
-	availableInZone int        // available hosts in this balancer's zone
-	origin          *cacheHost // never nil; without an id until it is listed
+	availableInZone int             // available hosts in this balancer's zone
+	origin          *cacheHost      // never nil; without an id until it is listed
+	originFastest   windowedMinimum // durations of the attempts that the origin fulfilled
 	ring            ring
 	// Attempts in flight at available hosts.
 	attemptsInFlight int
