Soak second answers with signals and a crowd: copies, refusals and halves of answers

Twelve clients use their connections until the kill, 3.7 s after SIGTERM. The three tests of second answers share their servers and checks now; their assertions are the same.

--- a/cmd/streamrail/long_list_test.go
+++ b/cmd/streamrail/long_list_test.go
@@ -64,16 +64,22 @@
 	}
 }
 
-// soakVariable is the environment variable that holds the number of seeds of the soak test and, optionally, the first seed:
+// soakVariable is the environment variable that holds the number of seeds of the soak tests and, optionally, the first seed:
 // "50" or "50 101".
 const soakVariable = "STREAMRAIL_SOAK"
 
-// TestLongListSoak draws from a seed the number of hosts, the balancer's share of a core and the sequence of disturbances.
-func TestLongListSoak(t *testing.T) {
-	seeds, first := 2, 1
+// soakSeeds returns the number of seeds of a soak test and the first seed.
+func soakSeeds() (seeds, first int) {
+	seeds, first = 2, 1
 	if text := os.Getenv(soakVariable); text != "" {
 		fmt.Sscan(text, &seeds, &first)
 	}
+	return seeds, first
+}
+
+// TestLongListSoak draws from a seed the number of hosts, the balancer's share of a core and the sequence of disturbances.
+func TestLongListSoak(t *testing.T) {
+	seeds, first := soakSeeds()
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
--- a/cmd/streamrail/second_answer_test.go
+++ b/cmd/streamrail/second_answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -109,6 +110,12 @@
 // sameAgain is a second answer that equals the first.
 func sameAgain(answer []byte) []byte { return answer }
 
+// firstHalf is a second answer that breaks off.
+func firstHalf(answer []byte) []byte { return answer[:len(answer)/2] }
+
+// refusal is a second answer that refuses a request.
+func refusal([]byte) []byte { return []byte("SERVER_ERROR busy\r\n") }
+
 // effects records which requests a server has executed.
 type effects struct {
 	mu  sync.Mutex
@@ -127,9 +134,62 @@
 	return e.ran[id]
 }
 
+// originAddr starts an origin that refuses some requests and executes the others, and returns its address.
+func (e *effects) originAddr(t *testing.T) string {
+	o := newOrigin(t, func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-ID")
+		if io.Copy(io.Discard, r.Body); len(id)%2 == 0 && strings.HasSuffix(id, "3") {
+			w.Header().Set("X-Not-Processed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		e.execute(id)
+		io.WriteString(w, madeFor(id))
+	})
+	go func() {
+		for range o.requests {
+		}
+	}()
+	return serverAddr(o.Server)
+}
+
+// answerOf returns how the n-th cache host answers where hosts take writes: it refuses some of them and executes the others.
+func (e *effects) answerOf(n int) func(command) string {
+	return func(cmd command) string {
+		switch {
+		case cmd.fields[0] == "ms" && strings.HasSuffix(cmd.id, fmt.Sprint(n)):
+			return string(refusal(nil))
+		case cmd.fields[0] == "ms":
+			e.execute(cmd.id)
+			return "HD O" + cmd.id + " c" + madeFor(cmd.id) + "\r\n"
+		}
+		return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(madeFor(cmd.id)), cmd.id, madeFor(cmd.id))
+	}
+}
+
 // madeFor returns the value or the receipt that the servers make for a request.
 func madeFor(id string) string { return "made-for-" + id }
 
+// check compares the answer to a request with what the servers did for it and reports whether the request was served.
+func (e *effects) check(t *testing.T, id, got string) (served bool) {
+	runs, value := e.count(id), madeFor(id)
+	switch {
+	case strings.HasPrefix(got, "VA ") || strings.HasPrefix(got, "HD "):
+		served = true
+		if got != fmt.Sprintf("VA %d O%s|%s", len(value), id, value) && got != "HD O"+id+" c"+value {
+			t.Errorf("request %s was served %q, expected %q", id, got, value)
+		}
+	case strings.HasPrefix(got, "SERVER_ERROR busy") && runs > 0:
+		t.Errorf("request %s was refused as if it had not run, and it ran", id)
+	case !strings.HasPrefix(got, "SERVER_ERROR "):
+		t.Errorf("request %s got %q", id, got)
+	}
+	if runs > 1 {
+		t.Errorf("request %s ran %d times", id, runs)
+	}
+	return served
+}
+
 // runClients lets clients send requests for a while, each with a pause between two of them, and returns the number of those that
 // were served.
 func (e *effects) runClients(t *testing.T, p *balancerProcess, seed uint64, request func(n int, id string) string) (served int) {
@@ -142,21 +202,10 @@
 			for i := range requestsEach {
 				id := fmt.Sprintf("c%dr%d", n, i)
 				got := c.ask(request(random.IntN(3), id))
-				switch runs := e.count(id); {
-				case strings.HasPrefix(got, "VA ") || strings.HasPrefix(got, "HD "):
+				if e.check(t, id, got) {
 					mu.Lock()
 					served++
 					mu.Unlock()
-					if value := madeFor(id); got != fmt.Sprintf("VA %d O%s|%s", len(value), id, value) && got != "HD O"+id+" c"+value {
-						t.Errorf("request %s was served %q, expected %q", id, got, value)
-					}
-				case strings.HasPrefix(got, "SERVER_ERROR busy") && runs > 0:
-					t.Errorf("request %s was refused as if it had not run, and it ran", id)
-				case !strings.HasPrefix(got, "SERVER_ERROR "):
-					t.Errorf("request %s got %q", id, got)
-				}
-				if runs := e.count(id); runs > 1 {
-					t.Errorf("request %s ran %d times", id, runs)
 				}
 				time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 			}
@@ -174,24 +223,10 @@
 			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
 				t.Parallel()
 				executed := &effects{ran: map[string]int{}}
-				o := newOrigin(t, func(w http.ResponseWriter, r *http.Request) {
-					id := r.Header.Get("X-Request-ID")
-					if io.Copy(io.Discard, r.Body); len(id)%2 == 0 && strings.HasSuffix(id, "3") {
-						w.Header().Set("X-Not-Processed", "1")
-						w.WriteHeader(http.StatusServiceUnavailable)
-						return
-					}
-					executed.execute(id)
-					io.WriteString(w, madeFor(id))
-				})
-				go func() {
-					for range o.requests {
-					}
-				}()
 				d := newDiscoveryServer(t)
 				h := newHost(t, "h", answerMiss)
 				d.setHost(h.id, h.addr, "cache", "active")
-				d.setHost("origin", newRepeater(t, serverAddr(o.Server), seed, delay, sameAgain).addr, "origin", "active")
+				d.setHost("origin", newRepeater(t, executed.originAddr(t), seed, delay, sameAgain).addr, "origin", "active")
 				p := launchServing(t, deploymentConfig(d, freeAddr(t), nil))
 				served := executed.runClients(t, p, seed, func(n int, id string) string {
 					return []string{getRequest("k", id, 900), putRequest("pay", "k", id, 900), strings.Replace(getRequest("k", id, 900), "c=read", "c=pay", 1)}[n]
@@ -207,7 +242,6 @@
 // A cache host's refusal has no id and promises that the request never ran. One that could belong to an earlier request must not
 // allow another attempt of a write that must not run twice, nor be passed on to the client.
 func TestStaleRefusalBelieved(t *testing.T) {
-	refusal := func([]byte) []byte { return []byte("SERVER_ERROR busy\r\n") }
 	for name, second := range map[string]func([]byte) []byte{"the same again": sameAgain, "a refusal after any answer": refusal} {
 		for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, ", late by ", delay), func(t *testing.T) {
@@ -215,16 +249,7 @@
 				executed := &effects{ran: map[string]int{}}
 				d := newDiscoveryServer(t)
 				for n := range 3 {
-					h := newHost(t, fmt.Sprint("h", n), func(cmd command) string {
-						switch {
-						case cmd.fields[0] == "ms" && strings.HasSuffix(cmd.id, fmt.Sprint(n)):
-							return string(refusal(nil))
-						case cmd.fields[0] == "ms":
-							executed.execute(cmd.id)
-							return "HD O" + cmd.id + " c" + madeFor(cmd.id) + "\r\n"
-						}
-						return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(madeFor(cmd.id)), cmd.id, madeFor(cmd.id))
-					})
+					h := newHost(t, fmt.Sprint("h", n), executed.answerOf(n))
 					d.setHost(h.id, newRepeater(t, h.addr, uint64(n), delay, second).addr, "cache", "active")
 				}
 				p := launchServing(t, deploymentConfig(d, freeAddr(t), readWriteThrough))
@@ -289,3 +314,87 @@
 		})
 	}
 }
+
+// TestSecondAnswerSoak draws from a seed who sends second answers, which and when, a crowd of idle clients and a series of signals. Clients
+// keep using their connections until the process is killed, at the earliest moment that is allowed after SIGTERM.
+func TestSecondAnswerSoak(t *testing.T) {
+	seeds, first := soakSeeds()
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			soakSecondAnswers(t, uint64(seed))
+		})
+	}
+}
+
+func soakSecondAnswers(t *testing.T, seed uint64) {
+	const killAfter = 3*time.Second + 700*time.Millisecond
+	random := rand.New(rand.NewPCG(seed, 0))
+	draw := func(target string) string {
+		delay := []time.Duration{0, 10 * time.Millisecond, 100 * time.Millisecond}[random.IntN(3)]
+		second := []func([]byte) []byte{sameAgain, sameAgain, refusal, firstHalf, func([]byte) []byte { return nil }}[random.IntN(5)]
+		return newRepeater(t, target, random.Uint64(), delay, second).addr
+	}
+	executed, d, settings := &effects{ran: map[string]int{}}, newDiscoveryServer(t), readWriteThrough
+	withOrigin := random.IntN(2) == 0
+	for n := range 3 {
+		answer := executed.answerOf(n)
+		if withOrigin {
+			answer = answerMiss
+		}
+		h := newHost(t, fmt.Sprint("h", n), answer)
+		go func() {
+			for range h.received {
+			}
+		}()
+		d.setHost(h.id, draw(h.addr), "cache", "active")
+	}
+	if withOrigin {
+		settings = nil
+		d.setHost("origin", draw(executed.originAddr(t)), "origin", "active")
+	}
+	config := deploymentConfig(d, freeAddr(t), settings)
+	p := launchServing(t, config)
+	for range random.IntN(2) * 100 {
+		p.dial(t)
+	}
+	var clients sync.WaitGroup
+	for n := range 12 {
+		c, random := p.dial(t), rand.New(rand.NewPCG(seed, uint64(n+1)))
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("c%dr%d", n, i)
+				_, err := io.WriteString(c.Conn, []string{getRequest(id, id, 900), putRequest("pay", id, id, 900)}[random.IntN(2)])
+				if err != nil {
+					return
+				}
+				got := c.next()
+				if !strings.Contains(got, " ") || strings.HasPrefix(got, "read tcp") { // the end of the connection
+					if runs := executed.count(id); runs > 0 {
+						t.Errorf("request %s ran and its connection ended without an answer: %s", id, got)
+					}
+					return
+				}
+				executed.check(t, id, got)
+				time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(time.Duration(1000+random.IntN(1000)) * time.Millisecond)
+	for range random.IntN(6) {
+		p.Process.Signal(syscall.SIGHUP)
+		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	select {
+	case err := <-p.exited:
+		p.exited <- err
+		if code := p.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("exit code %d", code)
+		}
+	case <-time.After(killAfter):
+		p.Process.Kill()
+	}
+	clients.Wait()
+}
