--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -194,10 +194,8 @@
 	for len(h.idle) > 0 {
 		p.close(h.idle[0], why)
 	}
-	for _, c := range p.conns {
-		if c.host == h && c.phase == opening && c.openedFor == nil {
-			p.close(c, why)
-		}
+	for c := p.openingSpare(h); c != nil; c = p.openingSpare(h) {
+		p.close(c, why)
 	}
 }
 
@@ -233,7 +231,7 @@
 		return
 	}
 	w := &waiter{attempt: a, host: h, expires: expires}
-	if c := p.openingSpare(h); c != nil {
+	if c := p.openingSpare(h); c != nil && h.singleUse {
 		w.opening, c.openedFor = c, w
 		p.enqueue(w)
 		p.openSpares(now, h)
--- a/internal/pool/single_use.go
+++ b/internal/pool/single_use.go
@@ -50,10 +50,9 @@
 	return n
 }
 
-// openingSpare returns the oldest connection to a host with connections of single use that is being opened and that no attempt waits for;
-// nil if there is none.
+// openingSpare returns the oldest connection to a host that is being opened and that no attempt waits for; nil if there is none.
 func (p *Pool) openingSpare(h *host) (oldest *conn) {
-	if !h.singleUse || h.openingSpares() == 0 {
+	if h.openingSpares() == 0 {
 		return nil
 	}
 	for _, c := range p.conns {
