Learn no limit on connections from refusals on connections of a single request

Seen: not by callers; found in reading the change again. Cause: Pool.Rejected lowers a host's learned limit on connections after a refusal on a connection's first request. With one request on each connection to the origin every refusal of a full origin would lower it, in installations that set host_most. Change: such hosts are left out; their attempts are bounded by the policy's limit and the limit given to HostUp. Measured: TestRefusalOfSingleUseKeepsLimit failed before (the limit fell from 8 to 1) and passes; tests of pool and upstream green.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -457,10 +457,11 @@
 }
 
 // Rejected reports that a host turned away an attempt or reset its connection. If it was the first attempt on a new connection, the
-// host may have too many connections: its limit is lowered and then grows again slowly.
+// host may have too many connections: its limit is lowered and then grows again slowly. Where every attempt is the first one, that tells
+// nothing about connections.
 func (p *Pool) Rejected(now policy.Nanos, id Conn) {
 	c := p.conns[id]
-	if c == nil || c.uses > 1 || p.config.HostMaxConnections == 0 {
+	if c == nil || c.uses > 1 || c.host.singleUse || p.config.HostMaxConnections == 0 {
 		return
 	}
 	h := c.host
--- a/internal/pool/single_use_test.go
+++ b/internal/pool/single_use_test.go
@@ -24,3 +24,16 @@
 	w.p.HostLeaving("o")
 	w.expect(t, "close 5 leaving close 6 leaving")
 }
+
+// A refusal on a connection that carries one attempt only must not lower the limit on connections.
+func TestRefusalOfSingleUseKeepsLimit(t *testing.T) {
+	w := newTestPool(Config{MaxConnections: 10, HostMaxConnections: 8}, 1)
+	w.p.HostUp(0, "o", 0, false, 0)
+	w.p.UseOnce("o")
+	w.checkout("o", s)
+	w.opened(1)
+	w.p.Rejected(0, 1)
+	if limit := w.p.connectionLimit(w.p.hosts["o"]); limit != 8 {
+		t.Errorf("the limit is %d, expected 8", limit)
+	}
+}
