Ask for three times the served requests where clients send three times as many

Change: 300 of 960 in all cases but the one that failed, where a third of all answers is preceded by 'busy' and hosts rest after it: 100 there, as before.

--- a/cmd/streamrail/second_answer_test.go
+++ b/cmd/streamrail/second_answer_test.go
@@ -190,6 +190,9 @@
 	return served
 }
 
+// minServed is how many of the requests of runClients must be served, so that a test does not pass by refusing them.
+const minServed = 300
+
 // runClients lets clients send requests for a while, each with a pause between two of them, and returns the number of those that
 // were served.
 func (e *effects) runClients(t *testing.T, p *balancerProcess, seed uint64, request func(n int, id string) string) (served int) {
@@ -231,8 +234,8 @@
 				served := executed.runClients(t, p, seed, func(n int, id string) string {
 					return []string{getRequest("k", id, 900), putRequest("pay", "k", id, 900), strings.Replace(getRequest("k", id, 900), "c=read", "c=pay", 1)}[n]
 				})
-				if served < 100 {
-					t.Errorf("%d requests were served, expected 100 or more", served)
+				if served < minServed {
+					t.Errorf("%d requests were served, expected %d or more", served, minServed)
 				}
 			})
 		}
@@ -256,8 +259,12 @@
 				served := executed.runClients(t, p, 1, func(n int, id string) string {
 					return []string{getRequest(id, id, 900), putRequest("pay", id, id, 900), putRequest("pay", id, id, 900)}[n]
 				})
-				if served < 100 {
-					t.Errorf("%d requests were served, expected 100 or more", served)
+				want := minServed
+				if strings.HasPrefix(name, "a refusal") && delay == 0 { // a third of all answers is preceded by a refusal, after which hosts rest
+					want = 100
+				}
+				if served < want {
+					t.Errorf("%d requests were served, expected %d or more", served, want)
 				}
 			})
 		}
