Show that a client told to come back makes a deduplicated write run twice

A deduplicated write that may have run is refused with a time to come back that leads beyond the window in which its repeat is dropped.

--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,16 @@
+#!/bin/bash
+# Runs one case: run-case.sh FOLDER SUBCOMMAND. Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
+set -u
+folder=$1
+case=$2
+root=$(cd "$folder/../.." && pwd)
+rig="$root/review/bin/rig"
+[ -x "$rig" ] && [ -x "$root/bin/streamrail" ] || { echo "build the deploy file and run review/build.sh first" >&2; exit 2; }
+run=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$root/deploy/balancer.toml")
+[ -n "$run" ] || { echo "no run command in deploy/balancer.toml" >&2; exit 2; }
+work=$(mktemp -d) || exit 2
+trap 'rm -rf "$work"' EXIT
+cd "$root" || exit 2
+RIG_RUN="$run" RIG_ROOT="$root" RIG_WORK="$work" RIG_RECORD="$folder/record.txt" TROUBLE="${TROUBLE:-1}" "$rig" "$case"
+code=$?
+case $code in 0|1) exit $code;; *) exit 2;; esac
