Show long writes that get no final answer while the origin takes seconds to read them

Cause: a long write's time runs only from the moment at which the balancer reads its last byte, which may lie unread in its socket for seconds.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -53,7 +53,7 @@
 
 func main() {
 	runtime.LockOSThread() // child processes are tied to the life of this thread
-	cases := map[string]func(){"comeback": comeback, "rolledback": rolledBack, "badclients": badClients}
+	cases := map[string]func(){"comeback": comeback, "badclients": badClients, "longwrite": longWrites}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE")
 		os.Exit(2)
--- a/review/rig/servers.go
+++ b/review/rig/servers.go
@@ -132,10 +132,13 @@
 // origin is the origin. It applies a write when its last byte has come, and drops a repeat of one that carries the same mark for
 // dedupWindow.
 type origin struct {
-	addr    string
-	mu      sync.Mutex
-	effects map[string][]effect                   // by mark
-	resetIn func(id string) (time.Duration, bool) // whether the connection is reset under a write, and how long after its last byte
+	addr string
+	mu   sync.Mutex
+	// Where firstPiece is not 0, the origin takes so many bytes of a write at once and the rest after waitToRead.
+	firstPiece int64
+	waitToRead func(id string)
+	effects    map[string][]effect                   // by mark
+	resetIn    func(id string) (time.Duration, bool) // whether the connection is reset under a write, and how long after its last byte
 }
 
 func newOrigin() *origin {
@@ -159,7 +162,13 @@
 		io.WriteString(w, v)
 		return
 	}
+	if o.firstPiece > 0 {
+		if _, err := io.CopyN(io.Discard, r.Body, o.firstPiece); err == nil {
+			o.waitToRead(id)
+		}
+	}
 	if _, err := io.ReadAll(r.Body); err != nil {
+		rec.add("origin: PUT %s id=%s did not come whole: %v", r.URL.Path, id, err)
 		return
 	}
 	now := time.Now()
