--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -11,6 +11,9 @@
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
 cd "$root" || exit 2
-RIG_RUN="$run" RIG_ROOT="$root" RIG_WORK="$work" RIG_RECORD="$folder/record.txt" TROUBLE="${TROUBLE:-1}" "$rig" "$case"
+RIG_RUN="$run" RIG_ROOT="$root" RIG_WORK="$work" RIG_RECORD="$folder/record.txt" TROUBLE="${TROUBLE:-1}" "$rig" "$case" &
+child=$!
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' INT TERM
+wait "$child"
 code=$?
 case $code in 0|1) exit $code;; *) exit 2;; esac
