Promise no harmless retry once a deduplicated write may have run

Cause: mayRateLimit held the moment of the answer against the window. "busy" promises that a retry is harmless, and the retry runs later by MS, by what the client adds, by the way, and by the time that the next balancer holds it. retryAfter drew MS from up to max_retry_after, which is as long as the window. Looked at and excluded: that the balancer words it elsewhere (admission, drain and the request's own timer say busy only where nothing ran here); that a host's refusal is passed on (none is); that MS alone is at fault (with MS 0 the client's own pause and the next balancer's queue still pass the window). Change: mayRateLimit asks only whether an attempt may have run; else the answer is "failed". A bounded MS was not taken: no bound covers the next balancer, which does not know when the first attempt was sent. The window still rules the balancer's own repeats. The log has "request given up" with what was told and the time since the first attempt.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -19,6 +19,9 @@
 	attempt.Done = func(r upstream.Result) {
 		c.attemptResults <- attemptResult{r, n, time.Since(sentAt) - r.ClientTransferTime}
 	}
+	if n == 0 {
+		c.firstAttemptAt = sentAt
+	}
 	c.attempts = append(c.attempts, attempt)
 	c.inFlight++
 	if c.client.hasLeft() || c.isAnswerChosen() { // the client left, or the answer was chosen, after this attempt was decided
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -31,7 +31,8 @@
 
 	heldBytes      atomic.Int64 // memory reserved for values
 	attempts       []*upstream.Attempt
-	inFlight       int // attempts that have not ended
+	firstAttemptAt time.Time // when the first attempt was handed to its host's connections; zero: none was
+	inFlight       int       // attempts that have not ended
 	attemptResults chan attemptResult
 	notify         chan struct{} // receives when actions are waiting
 
--- a/internal/balancer/failure_log.go
+++ b/internal/balancer/failure_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -27,14 +28,16 @@
 // reset begins a new period.
 func (l *lineLimit) reset() { l.logged.Store(0) }
 
-// failureLog logs the attempts that failed and the data that hosts sent for no attempt, within limits.
+// failureLog logs the attempts that failed, the requests that were given up after an attempt and the data that hosts sent for no
+// attempt, within limits.
 type failureLog struct {
-	failures, unattributed lineLimit
+	failures, givenUp, unattributed lineLimit
 }
 
 // reset begins a new period.
 func (l *failureLog) reset() {
 	l.failures.reset()
+	l.givenUp.reset()
 	l.unattributed.reset()
 }
 
@@ -54,6 +57,18 @@
 		AnErr("cause", e.Err).Msg("attempt failed")
 }
 
+// logGivenUp logs how a request that had been attempted was given up. For a rate-limited answer, since_first_attempt_ms and
+// retry_after_ms together say how long after the first attempt the client's retry comes.
+func (b *Balancer) logGivenUp(c *clientRequest, answer finalAnswer, retryAfter time.Duration) {
+	if len(c.attempts) == 0 || !b.failureLog.givenUp.allow() {
+		return
+	}
+	b.log.Info().Str("request", string(c.ID)).Stringer("answer", answer).Int("attempts", len(c.attempts)).Int("in_flight", c.inFlight).
+		Bool("may_have_run", c.mayHaveRun).Bool("client_retry", c.ClientRetry).
+		Float64("since_first_attempt_ms", milliseconds(time.Since(c.firstAttemptAt))).Float64("retry_after_ms", milliseconds(retryAfter)).
+		Msg("request given up")
+}
+
 // logUnattributed logs data from a host that was not taken as the answer to an attempt.
 func (b *Balancer) logUnattributed(u upstream.Unattributed) {
 	if !b.failureLog.unattributed.allow() {
@@ -67,6 +82,6 @@
 // appendConnections adds the counts of closed connections, of unattributed data and of lines that were not logged to a report.
 func (b *Balancer) appendConnections(line *zerolog.Event) *zerolog.Event {
 	stats := b.hosts.Stats()
-	notLogged := b.failureLog.failures.suppressed.Load() + b.failureLog.unattributed.suppressed.Load()
+	notLogged := b.failureLog.failures.suppressed.Load() + b.failureLog.givenUp.suppressed.Load() + b.failureLog.unattributed.suppressed.Load()
 	return line.Interface("closed", stats.Closed).Interface("not_believed", stats.Unattributed).Int64("not_logged", notLogged)
 }
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -20,11 +20,13 @@
 }
 
 func (c *clientRequest) answerRateLimited(a action) {
+	c.balancer.logGivenUp(c, rateLimited, a.retryAfter)
 	c.balancer.traffic.rateLimited.Add(1)
 	c.writeAnswer(rateLimited, memcache.AppendRateLimited(nil, a.retryAfter))
 }
 
 func (c *clientRequest) answerErrored(action) {
+	c.balancer.logGivenUp(c, errored, 0)
 	c.balancer.traffic.errored.Add(1)
 	c.writeAnswer(errored, []byte(memcache.ErroredAnswer))
 }
--- a/internal/rehearsal/judge/judge.go
+++ b/internal/rehearsal/judge/judge.go
@@ -396,11 +396,12 @@
 		if a.Proof == record.NeverRan || a.Proof == record.CacheMiss {
 			continue
 		}
-		if over := req.Answered - a.ArrivedAt - product.Window; product.Effect == NonIdempotent {
+		retryAt := req.Answered + req.RetryAfter
+		if over := retryAt - a.ArrivedAt - product.Window; product.Effect == NonIdempotent {
 			c.addBreach(HarmlessRetry, req.ID, req.Answered, 0, "rate-limited though an attempt may have run")
 			return
 		} else if over > c.config.Slack {
-			c.addBreach(HarmlessRetry, req.ID, req.Answered, over-c.config.Slack, "rate-limited %v after an attempt that may have run, beyond its window", formatTime(req.Answered-a.ArrivedAt))
+			c.addBreach(HarmlessRetry, req.ID, req.Answered, over-c.config.Slack, "rate-limited, to come back %v after an attempt that may have run, beyond its window", formatTime(retryAt-a.ArrivedAt))
 			return
 		}
 	}
@@ -432,8 +433,11 @@
 			first[e.DedupToken] = e
 			continue
 		}
-		// Not the balancer's fault: a client retry after an error, or too long after a rate-limited answer.
 		if req := c.requests[e.RequestID]; req != nil && earlier.RequestID != e.RequestID {
+			// A client retry after an error is not the balancer's fault; one after a promise that it is harmless is.
+			if c.promisedHarmless(c.requests[earlier.RequestID], req) {
+				c.addBreach(HarmlessRetry, e.RequestID, e.At, 0, "the mark %s had its effect %v before, and its client came back only as it was told that this is harmless", e.DedupToken, formatTime(e.At-earlier.At))
+			}
 			continue
 		}
 		// A deduplicated request may be sent again within its window. If a host executes an old attempt long after both
@@ -449,6 +453,22 @@
 	}
 }
 
+// promisedHarmless reports whether a client that sent both requests made each try from the first to the second only because the try
+// before was answered as rate-limited.
+func (c *checker) promisedHarmless(first, second *record.Request) bool {
+	if first == nil || first.FirstID != second.FirstID {
+		return false
+	}
+	promised := 0
+	for i := range c.rec.Requests {
+		req := &c.rec.Requests[i]
+		if req.FirstID == first.FirstID && req.Try >= first.Try && req.Try < second.Try && req.Reply == record.RateLimited {
+			promised++
+		}
+	}
+	return promised == second.Try-first.Try
+}
+
 func (c *checker) dedupWindow(requestID string) time.Duration {
 	if req := c.requests[requestID]; req != nil {
 		return c.productOf(req).Window
--- a/internal/rehearsal/judge/judge_test.go
+++ b/internal/rehearsal/judge/judge_test.go
@@ -1,6 +1,7 @@
 package judge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,24 +40,27 @@
 		connectOutage bool
 		want          Rule
 	}{
-		"served":                             {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms)}},
-		"served by no server":                {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.NothingProven)}, want: RightAnswer},
-		"after its timeout":                  {request: newRequest(0, 0, 900*ms, 960*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.NothingProven)}, want: OneAnswer},
-		"within the slack":                   {request: newRequest(0, 0, 900*ms, 940*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.NothingProven)}},
-		"closed":                             {request: newRequest(0, 0, 900*ms, 0, record.Closed), want: OneAnswer},
-		"cut short by its server":            {request: newRequest(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.NothingProven)}},
-		"cut short by the balancer":          {request: newRequest(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{served(1*ms, 29*ms)}, want: OneAnswer},
-		"an attempt after the answer":        {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms), served(90*ms, 99*ms)}, want: NothingLate},
-		"given up late":                      {request: newRequest(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, want: PromptGiveUp},
-		"given up with an attempt in flight": {request: newRequest(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 705*ms, record.NothingProven)}},
-		"given up during a connect outage":   {request: newRequest(0, 0, 1900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, connectOutage: true},
-		"given up late in a connect outage":  {request: newRequest(0, 0, 1900*ms, 1700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, connectOutage: true, want: PromptGiveUp},
-		"non-idempotent, sent again":         {request: newRequest(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(30*ms, 50*ms)}, want: NoRepeat},
-		"non-idempotent, never ran":          {request: newRequest(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NeverRan), served(30*ms, 50*ms)}},
-		"non-idempotent, rate-limited":       {request: newRequest(1, 0, 900*ms, 25*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven)}, want: HarmlessRetry},
-		"deduplicated, within its window":    {request: newRequest(2, 0, 5000*ms, 1960*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(1930*ms, 1950*ms)}},
-		"deduplicated, after its window":     {request: newRequest(2, 0, 5000*ms, 2200*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(2100*ms, 2150*ms)}, want: NoRepeat},
-		"two attempts in flight":             {request: newRequest(0, 0, 900*ms, 160*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 150*ms, record.NothingProven), served(30*ms, 150*ms)}, want: AttemptsInSequence},
+		"served":                                           {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms)}},
+		"served by no server":                              {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.NothingProven)}, want: RightAnswer},
+		"after its timeout":                                {request: newRequest(0, 0, 900*ms, 960*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.NothingProven)}, want: OneAnswer},
+		"within the slack":                                 {request: newRequest(0, 0, 900*ms, 940*ms, record.Errored), attempts: []record.Attempt{attempt("n", 1*ms, 900*ms, record.NothingProven)}},
+		"closed":                                           {request: newRequest(0, 0, 900*ms, 0, record.Closed), want: OneAnswer},
+		"cut short by its server":                          {request: newRequest(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{attempt("n", 1*ms, 29*ms, record.NothingProven)}},
+		"cut short by the balancer":                        {request: newRequest(0, 0, 900*ms, 30*ms, record.CutShort), attempts: []record.Attempt{served(1*ms, 29*ms)}, want: OneAnswer},
+		"an attempt after the answer":                      {request: newRequest(0, 0, 900*ms, 30*ms, record.Fulfilled), attempts: []record.Attempt{served(1*ms, 29*ms), served(90*ms, 99*ms)}, want: NothingLate},
+		"given up late":                                    {request: newRequest(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, want: PromptGiveUp},
+		"given up with an attempt in flight":               {request: newRequest(0, 0, 900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 705*ms, record.NothingProven)}},
+		"given up during a connect outage":                 {request: newRequest(0, 0, 1900*ms, 700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, connectOutage: true},
+		"given up late in a connect outage":                {request: newRequest(0, 0, 1900*ms, 1700*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 300*ms, record.NeverRan)}, connectOutage: true, want: PromptGiveUp},
+		"non-idempotent, sent again":                       {request: newRequest(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(30*ms, 50*ms)}, want: NoRepeat},
+		"non-idempotent, never ran":                        {request: newRequest(1, 0, 900*ms, 60*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NeverRan), served(30*ms, 50*ms)}},
+		"non-idempotent, rate-limited":                     {request: newRequest(1, 0, 900*ms, 25*ms, record.RateLimited), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven)}, want: HarmlessRetry},
+		"deduplicated, within its window":                  {request: newRequest(2, 0, 5000*ms, 1960*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(1930*ms, 1950*ms)}},
+		"deduplicated, after its window":                   {request: newRequest(2, 0, 5000*ms, 2200*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven), served(2100*ms, 2150*ms)}, want: NoRepeat},
+		"deduplicated, told to come back in its window":    {request: comeBackAfter(1900 * ms), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven)}},
+		"deduplicated, told to come back after its window": {request: comeBackAfter(2050 * ms), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NothingProven)}, want: HarmlessRetry},
+		"deduplicated, never ran, told to come back then":  {request: comeBackAfter(2050 * ms), attempts: []record.Attempt{attempt("n", 1*ms, 20*ms, record.NeverRan)}},
+		"two attempts in flight":                           {request: newRequest(0, 0, 900*ms, 160*ms, record.Fulfilled), attempts: []record.Attempt{attempt("n", 1*ms, 150*ms, record.NothingProven), served(30*ms, 150*ms)}, want: AttemptsInSequence},
 		"a drained host": {request: newRequest(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
 			notices: []record.HostNotice{{Host: "n", At: 1000 * ms}}, want: Drains},
 		"drain noticed twice": {request: newRequest(0, 2000*ms, 2900*ms, 2130*ms, record.Fulfilled), attempts: []record.Attempt{served(2060*ms, 2100*ms)},
@@ -86,6 +90,31 @@
 	}
 }
 
+// comeBackAfter returns a deduplicated request that was rate-limited after 25 ms, with a time to wait before a retry.
+func comeBackAfter(wait time.Duration) record.Request {
+	req := newRequest(2, 0, 900*ms, 25*ms, record.RateLimited)
+	req.RetryAfter = wait
+	return req
+}
+
+// A mark that has its effect twice is a breach if the client came back because it was told that this is harmless, and not if it came back
+// after an error.
+func TestRepeatByClient(t *testing.T) {
+	for reply, want := range map[record.Reply][]Rule{record.RateLimited: {HarmlessRetry}, record.Errored: nil} {
+		rec := record.New()
+		first, second := newRequest(2, 0, 900*ms, 30*ms, reply), newRequest(2, 1500*ms, 2500*ms, 2400*ms, record.Fulfilled)
+		second.ID, second.Try = "a.2", 2
+		rec.Requests = []record.Request{first, second}
+		late := attempt(record.Origin, 2100*ms, 2390*ms, record.Served)
+		late.RequestID = second.ID
+		rec.Attempts = []record.Attempt{attempt(record.Origin, 2*ms, 25*ms, record.NothingProven), late}
+		rec.Effects = []record.Effect{{RequestID: "a", DedupToken: "k", At: 10 * ms}, {RequestID: "a.2", DedupToken: "k", At: 2200 * ms}}
+		if got := Judge(rec, testConfig()).BrokenRules(); !slices.Equal(got, want) {
+			t.Errorf("after the reply %q: broke rules %q, expected %q", reply, got, want)
+		}
+	}
+}
+
 // A case that exceeds its bound by no more than twice the lateness of the rehearsal itself is doubtful and not a breach. A
 // case that depends on counts alone is a breach regardless of lateness. A rule without a case counts nothing as checked.
 func TestDoubt(t *testing.T) {
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -73,27 +73,33 @@
 }
 
 // maySend reports whether an attempt may be sent now, given the attempts before it. No attempt is sent without
-// this check.
+// this check. Non-idempotent work must not run again; deduplicated work may be repeated only within the window and
+// only at a host that recognises every earlier attempt that may have run.
 func (b *Balancer) maySend(r *request, to *cacheHost) bool {
 	return len(r.attempts) < b.config.MaxAttempts && !r.finished && r.inFlight == 0 &&
-		b.repeatHarmless(r, func(a attempt) bool {
-			return r.product.DedupScope == DedupScopeAll || r.product.DedupScope == DedupScopeZone && a.host.Zone == to.Zone ||
-				r.product.DedupScope == DedupScopeCell && a.host.Cell == to.Cell
-		})
+		(r.product.Effect == Idempotent || !slices.ContainsFunc(r.attempts, func(a attempt) bool {
+			return a.mayRun() && (r.product.Effect == NonIdempotent ||
+				b.env.Now()-a.sentAt >= r.product.safeRepeatWindow() || !r.product.deduplicates(a.host, to))
+		}))
 }
 
-// mayRateLimit reports whether a request may be answered as rate-limited, which promises that a retry is harmless
-// at whichever host it arrives.
-func (b *Balancer) mayRateLimit(r *request) bool {
-	return b.repeatHarmless(r, func(attempt) bool { return r.product.DedupScope == DedupScopeAll })
+// mayRun reports whether an attempt may have run or may yet run.
+func (a attempt) mayRun() bool { return a.inFlight || a.mayHaveRun }
+
+// deduplicates reports whether one host drops the repeat of a request that ran at another.
+func (t *ProductConfig) deduplicates(ranAt, repeatAt *cacheHost) bool {
+	switch t.DedupScope {
+	case DedupScopeZone:
+		return ranAt.Zone == repeatAt.Zone
+	case DedupScopeCell:
+		return ranAt.Cell == repeatAt.Cell
+	}
+	return true
 }
 
-// repeatHarmless reports whether a repeat cannot cause a second effect. Non-idempotent work must not run again;
-// deduplicated work may be repeated only within the window and only where every earlier attempt that may have run
-// is recognised.
-func (b *Balancer) repeatHarmless(r *request, deduplicates func(attempt) bool) bool {
-	return r.product.Effect == Idempotent || !slices.ContainsFunc(r.attempts, func(a attempt) bool {
-		return (a.inFlight || a.mayHaveRun) && (r.product.Effect == NonIdempotent ||
-			b.env.Now()-a.sentAt >= r.product.safeRepeatWindow() || !deduplicates(a))
-	})
+// mayRateLimit reports whether a request may be answered as rate-limited, which promises that a client retry is
+// harmless whenever and wherever it arrives. No deduplication window supports that promise: the client chooses when
+// to retry, and the balancer that gets the retry may hold it for a while.
+func (b *Balancer) mayRateLimit(r *request) bool {
+	return r.product.Effect == Idempotent || !slices.ContainsFunc(r.attempts, attempt.mayRun)
 }
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -221,8 +221,8 @@
 	if d.answered || s.now > d.deadline {
 		s.Errorf("%s: rule 1: %s answered twice or late", s.line, id)
 	}
-	all := func(attempt) bool { return s.config.Products[d.request.Product].DedupScope == DedupScopeAll }
-	if what == "ratelimit" && !s.repeatHarmless(d, all) {
+	// The client's retry may arrive at any time, also after the deduplication window.
+	if what == "ratelimit" && !s.repeatHarmless(d, func(attempt) bool { return false }) {
 		s.Errorf("%s: rule 2: %s rate-limited although it may have run", s.line, id)
 	}
 	d.answered = true
