Answer a marked client retry that is given up as failed where an earlier try may have run

A client that retries by itself after "failed" got "busy MS" at the second balancer, as no attempt of that try had run, and would come back beyond the window of the first try. Cause: the promise was judged by the attempts of this balancer alone, though r=1 says that there was an earlier try. Change: policy.EarlierTryMayHaveRun (deduplicated by all hosts and r=1); policy, admission, drain and the request's own timer ask it. Other products are retried only where nothing ran, and keep "busy".

--- a/internal/balancer/client_close_test.go
+++ b/internal/balancer/client_close_test.go
@@ -298,3 +298,13 @@
 		}
 	})
 }
+
+// TestRetryNotPromisedHarmless guards against a client retry of a deduplicated write that is refused on admission as rate-limited: an
+// earlier try may have run at another balancer, and the client would come back after the deduplication window.
+func TestRetryNotPromisedHarmless(t *testing.T) {
+	x := newTestBalancer(t, policy.Deduplicated, 2*policy.Second, map[string]string{"h": ""})
+	x.maxInFlight.Store(0)
+	x.expectAnswer("ms k 1 Oa Pc=pay,d=900,k=m\r\nv\r\n", "SERVER_ERROR busy")
+	x.expectAnswer("ms k 1 Ob Pc=pay,d=900,k=m,r=1\r\nv\r\n", "SERVER_ERROR failed")
+	x.expectAnswer("mg k v Oc Pc=read,d=900,r=1\r\n", "SERVER_ERROR busy")
+}
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -74,7 +74,7 @@
 		due = deadline.After(c.arrived, c.Timeout+maxUploadTime)
 	}
 	if due.Passed() { // the deadline passed while it waited behind other requests; nothing ran
-		c.answerRateLimited(action{})
+		c.giveUpUnsent()
 		return
 	}
 	c.attemptResults = make(chan attemptResult, b.deployment.PolicyConfig.MaxAttempts+1)
@@ -154,7 +154,7 @@
 	b.post(func() { b.policy.RequestAbandoned(c.id) }) // it cancels the attempts in flight
 	b.delays.answeredByTimer.Add(1)
 	if c.inFlight == 0 && !c.mayHaveRun {
-		c.answerRateLimited(action{})
+		c.giveUpUnsent()
 	} else {
 		c.answerErrored(action{})
 	}
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -236,17 +236,17 @@
 	return req, fault, true
 }
 
-// refuse answers a request of which nothing was sent to a host as rate-limited, and stops reading commands.
-func (c *clientConn) refuse() bool {
-	c.writeReply(string(memcache.AppendRateLimited(nil, 0)))
-	return c.stopCommands()
+// refuseAndStop answers a request of which nothing was sent to a host, and stops reading commands.
+func (c *clientRequest) refuseAndStop() bool {
+	_, text := c.unsentAnswer()
+	return c.client.replyAndStop(text)
 }
 
 // admit reads a request's value, then either starts handling the request or answers it; false if no further command is to be read.
 func (b *Balancer) admit(req *clientRequest, fault *memcache.Fault) bool {
 	c := req.client
 	if req.Write && req.Length > upstream.MaxBufferedBytes && c.noMoreCommands.Load() { // reading was stopped before the value arrived
-		return c.refuse()
+		return req.refuseAndStop()
 	}
 	started, admitted := false, b.inFlight.Add(1) <= b.maxInFlight.Load() && b.clients.makeRoomFor(c)
 	streamed := req.Write && fault == nil && req.Length > upstream.MaxBufferedBytes
@@ -277,7 +277,7 @@
 		req.arrived = c.commandArrival()
 	}
 	if c.noMoreCommands.Load() && !streamed { // reading was stopped while the request was read: nothing is sent to hosts any more
-		return c.refuse()
+		return req.refuseAndStop()
 	}
 	if fault == nil {
 		fault = b.resolveNames(req)
@@ -290,9 +290,10 @@
 	}
 	b.clients.noteRequest(c)
 	if !admitted {
-		written := c.writeReply(string(memcache.AppendRateLimited(nil, 0)))
+		kind, text := req.unsentAnswer()
+		written := c.writeReply(text)
 		if written {
-			b.answerStats.countAnswer(req.product, rateLimited)
+			b.answerStats.countAnswer(req.product, kind)
 		}
 		return written
 	}
--- a/internal/balancer/reply.go
+++ b/internal/balancer/reply.go
@@ -25,6 +25,25 @@
 	c.writeAnswer(rateLimited, memcache.AppendRateLimited(nil, a.retryAfter))
 }
 
+// unsentAnswer returns the answer to a request that is given up and that no host got.
+func (c *clientRequest) unsentAnswer() (kind finalAnswer, text string) {
+	deployed := c.balancer.deployment
+	product, known := deployed.Products[string(c.Product)]
+	if known && deployed.PolicyConfig.Products[product].EarlierTryMayHaveRun(c.ClientRetry) {
+		return errored, memcache.ErroredAnswer
+	}
+	return rateLimited, string(memcache.AppendRateLimited(nil, 0))
+}
+
+// giveUpUnsent gives up an admitted request that no host got.
+func (c *clientRequest) giveUpUnsent() {
+	if kind, _ := c.unsentAnswer(); kind == errored {
+		c.answerErrored(action{})
+		return
+	}
+	c.answerRateLimited(action{})
+}
+
 func (c *clientRequest) answerErrored(action) {
 	c.balancer.logGivenUp(c, errored, 0)
 	c.balancer.traffic.errored.Add(1)
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -101,5 +101,12 @@
 // harmless whenever and wherever it arrives. No deduplication window supports that promise: the client chooses when
 // to retry, and the balancer that gets the retry may hold it for a while.
 func (b *Balancer) mayRateLimit(r *request) bool {
-	return r.product.Effect == Idempotent || !slices.ContainsFunc(r.attempts, attempt.mayRun)
+	return r.product.Effect == Idempotent || !r.product.EarlierTryMayHaveRun(r.ClientRetry) && !slices.ContainsFunc(r.attempts, attempt.mayRun)
+}
+
+// EarlierTryMayHaveRun reports whether an earlier try of a request may have run, given whether the request is marked as
+// a client retry. Where all hosts drop repeats, clients also retry after an error, and the earlier try may have been
+// made at another balancer. Other requests with an effect are retried only if nothing ran.
+func (t *ProductConfig) EarlierTryMayHaveRun(clientRetry bool) bool {
+	return clientRetry && t.Effect == Deduplicated && t.DedupScope == DedupScopeAll
 }
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -222,7 +222,9 @@
 		s.Errorf("%s: rule 1: %s answered twice or late", s.line, id)
 	}
 	// The client's retry may arrive at any time, also after the deduplication window.
-	if what == "ratelimit" && !s.repeatHarmless(d, func(attempt) bool { return false }) {
+	p := s.config.Products[d.request.Product]
+	earlierTryMayHaveRun := d.request.ClientRetry && p.Effect == Deduplicated && p.DedupScope == DedupScopeAll
+	if what == "ratelimit" && (earlierTryMayHaveRun || !s.repeatHarmless(d, func(attempt) bool { return false })) {
 		s.Errorf("%s: rule 2: %s rate-limited although it may have run", s.line, id)
 	}
 	d.answered = true
@@ -247,7 +249,7 @@
 			}
 		}
 	}
-	in := Request{ID: id, Key: Key(key), Product: p, Customer: Customer(o.number("customer", 0)), Write: o["write"] != "",
+	in := Request{ID: id, Key: Key(key), Product: p, Customer: Customer(o.number("customer", 0)), Write: o["write"] != "", ClientRetry: o["retry"] != "",
 		Deadline: s.now + o.milliseconds("left", float64(s.timeouts[p]/Millisecond)), ExpectedWork: o.milliseconds("work", 0)}
 	s.requests[id] = &clientRequest{request: in, deadline: in.Deadline}
 	s.b.RequestArrived(in)
