Report the memory held for peers by use beside the memory of the process

Change: a budget of its own (memory.go) with three uses in place of two loose counters; held_bytes and memory_bytes in the log's traffic line, app_held_bytes{use} and app_memory_bytes at the admin API. No bound changes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -310,6 +310,8 @@
 	// ConnectionsClosed counts closed connections to hosts by reason, AnswersNotBelieved the data from hosts that was not taken as the
 	// answer to an attempt, by cause.
 	ConnectionsClosed, AnswersNotBelieved map[string]int64
+	HeldBytes                             map[string]int64 // memory reserved for what peers send, by use
+	ProcessMemory                         int64            // bytes obtained from the system and not returned
 
 	Fleet *FleetTelemetry // nil if this balancer does not communicate with other balancers
 }
@@ -346,20 +348,22 @@
 		{"app_cluster_unhealthy", "gauge", int64(t.HostsAvoided)},
 		{"app_late_total", "counter", t.LateAnswers},
 		{"app_decisions_held_microseconds_max", "gauge", t.LongestHandling.Microseconds()},
+		{"app_memory_bytes", "gauge", t.ProcessMemory},
 	} {
 		fmt.Fprintf(&buf, "# TYPE %s %s\n%s %d\n", metric.name, metric.kind, metric.name, metric.value)
 	}
-	writeLabelled(&buf, "app_connections_closed_total", "reason", t.ConnectionsClosed)
-	writeLabelled(&buf, "app_answers_not_believed_total", "cause", t.AnswersNotBelieved)
+	writeLabelled(&buf, "app_connections_closed_total", "counter", "reason", t.ConnectionsClosed)
+	writeLabelled(&buf, "app_answers_not_believed_total", "counter", "cause", t.AnswersNotBelieved)
+	writeLabelled(&buf, "app_held_bytes", "gauge", "use", t.HeldBytes)
 	if t.Fleet != nil {
 		t.Fleet.writeMetrics(&buf)
 	}
 	return buf.Bytes()
 }
 
-// writeLabelled writes one counter for each value of a label, in their order.
-func writeLabelled(buf *bytes.Buffer, name, label string, counts map[string]int64) {
-	fmt.Fprintf(buf, "# TYPE %s counter\n", name)
+// writeLabelled writes one figure for each value of a label, in their order.
+func writeLabelled(buf *bytes.Buffer, name, kind, label string, counts map[string]int64) {
+	fmt.Fprintf(buf, "# TYPE %s %s\n", name, kind)
 	for _, value := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Fprintf(buf, "%s{%s=\"%s\"} %d\n", name, label, labelEscaper.Replace(value), counts[value])
 	}
--- a/internal/balancer/answer_stats.go
+++ b/internal/balancer/answer_stats.go
@@ -56,6 +56,7 @@
 	a.b.callPolicy(func() { telemetry.HostsListed, telemetry.HostsAvoided = a.b.policy.HostCounts() })
 	upstreamStats := a.b.hosts.Stats()
 	telemetry.ConnectionsClosed, telemetry.AnswersNotBelieved = upstreamStats.Closed, upstreamStats.Unattributed
+	telemetry.HeldBytes, telemetry.ProcessMemory = a.b.memory.usage(), processMemory()
 	telemetry.Fleet = a.b.fleetStats()
 	return telemetry
 }
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -10,7 +10,7 @@
 func (c *clientRequest) sendAttempt(send action) {
 	n, sentAt := len(c.attempts), time.Now()
 	attempt := &upstream.Attempt{To: send.host, Command: &c.Command, Value: c.value, Deadline: send.deadline, LatestStart: send.latestStart}
-	attempt.ReserveMemory = c.reserveMemory
+	attempt.ReserveMemory = func(bytes int) bool { return c.memory.reserve(hostAnswers, bytes) }
 	attempt.StreamValue = c.streamValue
 	attempt.ClientGone = c.isUnwanted
 	if c.upload != nil {
@@ -52,22 +52,3 @@
 		c.attempts[cancel.attempt].GiveUp()
 	}
 }
-
-// reserveMemory reserves memory for a value until the request is released; it returns false if the limit does not allow it.
-func (c *clientRequest) reserveMemory(bytes int) bool {
-	reserved := c.balancer.reserveMemory(bytes)
-	if reserved {
-		c.heldBytes.Add(int64(bytes))
-	}
-	return reserved
-}
-
-// reserveMemory reserves memory for values of requests in flight; it returns false if the limit does not allow it. The caller must
-// release what it reserved.
-func (b *Balancer) reserveMemory(bytes int) bool {
-	if b.valueBytes.Add(int64(bytes)) > b.maxValueBytes.Load() {
-		b.valueBytes.Add(-int64(bytes))
-		return false
-	}
-	return true
-}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -59,8 +59,7 @@
 	capacity        resourceLimits      // limits of a single process, which the two processes of an upgrade split
 	inFlight        atomic.Int64        // requests in flight
 	maxInFlight     atomic.Int64
-	valueBytes      atomic.Int64 // bytes of values of requests in flight
-	maxValueBytes   atomic.Int64
+	memory          memoryBudget
 	traffic         trafficStats
 	delays          delayStats
 	failureLog      failureLog
--- a/internal/balancer/client_close.go
+++ b/internal/balancer/client_close.go
@@ -26,12 +26,11 @@
 
 // readAheadBuffer holds what was read from a connection while its reader was waiting for something else.
 type readAheadBuffer struct {
-	chunks   []chunk
-	size     int        // bytes in all chunks
-	err      error      // error or end of the stream behind the chunks
-	balancer *Balancer  // whose value memory is used; nil: without limit
-	reserved int        // bytes of value memory in use
-	mu       sync.Mutex // guards the connection's read deadline while another goroutine reads ahead
+	chunks []chunk
+	size   int   // bytes in all chunks
+	err    error // error or end of the stream behind the chunks
+	memory memoryReservation
+	mu     sync.Mutex // guards the connection's read deadline while another goroutine reads ahead
 }
 
 // chunk is the result of one read. A request's time counts from arrivedAt, however long the request waits in the buffer.
@@ -42,10 +41,8 @@
 
 // release drops the chunks and releases their memory.
 func (a *readAheadBuffer) release() {
-	if a.balancer != nil {
-		a.balancer.valueBytes.Add(-int64(a.reserved))
-	}
-	a.chunks, a.size, a.reserved = nil, 0, 0
+	a.memory.release()
+	a.chunks, a.size = nil, 0
 }
 
 // take copies the oldest bytes of the buffer to p and returns when they had arrived. If empty is set, the connection itself must be read.
@@ -150,13 +147,7 @@
 	}
 	a.chunks = append(a.chunks, chunk{bytes.Clone(buf[:n]), arrived})
 	a.size += n
-	if a.balancer != nil {
-		if !a.balancer.reserveMemory(n) {
-			return false
-		}
-		a.reserved += n
-	}
-	return true
+	return a.memory.reserve(readAhead, n)
 }
 
 // pollInput reports whether there is unread input or the end of the stream. It asks the system without waiting and whatever the read
--- a/internal/balancer/deadline_test.go
+++ b/internal/balancer/deadline_test.go
@@ -592,7 +592,7 @@
 	t.Run("no memory to read ahead", func(t *testing.T) {
 		t.Parallel()
 		f := newFaultyHosts(t, 3, injectedFaults{answers: []string{"hang"}, cachesTakeWrites: true})
-		f.maxValueBytes.Store(0)
+		f.memory.limit.Store(0)
 		conn, err := net.Dial("tcp", f.addr)
 		if err != nil {
 			t.Fatal(err)
@@ -622,7 +622,7 @@
 // before are finished, no attempt may begin for the unread ones.
 func TestClientGoneBehindUnread(t *testing.T) {
 	f := newFaultyHosts(t, 4, injectedFaults{answers: []string{"slow hit"}, cachesTakeWrites: true})
-	f.maxValueBytes.Store(0)
+	f.memory.limit.Store(0)
 	conn, err := net.Dial("tcp", f.addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"streamrail/internal/deadline"
@@ -29,7 +28,7 @@
 	previousAnswered chan struct{}     // closed when all earlier commands of the connection are answered
 	answered         chan struct{}     // closed when this request is answered
 
-	heldBytes      atomic.Int64 // memory reserved for values
+	memory         memoryReservation // for its value and for the answers to its attempts
 	attempts       []*upstream.Attempt
 	firstAttemptAt time.Time // when the first attempt was handed to its host's connections; zero: none was
 	inFlight       int       // attempts that have not ended
@@ -238,7 +237,7 @@
 		b.post(func() { delete(b.requests, c.id) })
 	}
 	b.releaseID(c)
-	b.valueBytes.Add(-c.heldBytes.Load())
+	c.memory.release()
 	b.inFlight.Add(-1)
 	<-c.client.inFlight
 	c.client.noteIfIdle()
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -145,7 +145,7 @@
 // notices when the client closes the connection.
 func (b *Balancer) serveClient(c *clientConn) {
 	defer b.clients.remove(c)
-	c.readAheadBuf.balancer = b
+	c.readAheadBuf.memory.budget = &b.memory
 	defer c.readAheadBuf.release()
 	for {
 		for b.handleCommand(c) && b.currentPhase() <= Leaving {
@@ -221,7 +221,7 @@
 		return nil, nil, c.connectionLost(err)
 	}
 	line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
-	req = &clientRequest{client: c, balancer: b, arrived: c.commandArrival()}
+	req = &clientRequest{client: c, balancer: b, arrived: c.commandArrival(), memory: memoryReservation{budget: &b.memory}}
 	req.Command, fault = memcache.Parse(append(req.line[:0], line...))
 	switch {
 	case fault == memcache.Quit:
@@ -254,11 +254,11 @@
 	if streamed {
 		needed = upstream.StreamBufferBytes
 	}
-	admitted = admitted && (!req.Write || fault != nil || req.reserveMemory(needed))
+	admitted = admitted && (!req.Write || fault != nil || req.memory.reserve(clientValues, needed))
 	defer func() {
 		if !started {
 			b.inFlight.Add(-1)
-			b.valueBytes.Add(-req.heldBytes.Load())
+			req.memory.release()
 		}
 	}()
 	if streamed {
--- a/internal/balancer/read_test.go
+++ b/internal/balancer/read_test.go
@@ -93,7 +93,7 @@
 // next command found. Values kept in memory beyond the limit would get the balancer killed, with all its requests.
 func TestWriteRefusedWithoutMemory(t *testing.T) {
 	b, c, peer := newBareBalancer(t) // its limits are zero: no request may be in flight
-	b.maxValueBytes.Store(100)
+	b.memory.limit.Store(100)
 	io.WriteString(peer, "ms k 7 O1 Pc=pay,d=900\r\nmn\r\nmn\r\r\nmn\r\n")
 	for range 2 {
 		if !b.handleCommand(c) {
@@ -107,7 +107,7 @@
 		}
 	}
 	b.maxInFlight.Store(9)
-	b.maxValueBytes.Store(6) // not enough for the value's bytes
+	b.memory.limit.Store(6) // not enough for the value's bytes
 	io.WriteString(peer, "ms k 7 O1 Pc=pay,d=900\r\n1234567\r\n")
 	if !b.handleCommand(c) {
 		t.Fatal("the connection ends")
@@ -115,7 +115,7 @@
 	if got, _ := in.ReadString('\n'); got != "SERVER_ERROR busy\r\n" {
 		t.Errorf("got %q", got)
 	}
-	if n, held := b.inFlight.Load(), b.valueBytes.Load(); n != 0 || held != 0 {
+	if n, held := b.inFlight.Load(), b.memory.reserved.Load(); n != 0 || held != 0 {
 		t.Errorf("%d requests still count as in flight, with %d bytes", n, held)
 	}
 }
--- a/internal/balancer/traffic_stats.go
+++ b/internal/balancer/traffic_stats.go
@@ -66,7 +66,7 @@
 	t, d := &b.traffic, &b.delays
 	d.lateLogged.reset()
 	b.failureLog.reset()
-	b.appendConnections(b.log.Info()).Uint64("taken", b.requestCount.Load()).Int64("fulfilled", t.fulfilled.Load()).
+	b.appendConnections(b.log.Info()).Interface("held_bytes", b.memory.usage()).Int64("memory_bytes", processMemory()).Uint64("taken", b.requestCount.Load()).Int64("fulfilled", t.fulfilled.Load()).
 		Int64("rate_limited", t.rateLimited.Load()).Int64("errored", t.errored.Load()).
 		Int64("abandoned", t.abandoned.Load()).Dict("shots", byOutcome).Int64("in_hand", b.inFlight.Load()).
 		Int("clients", b.clients.count()).Int("upstream", b.hosts.Open()).
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -375,7 +375,7 @@
 
 func (b *Balancer) usage() handover.ResourceUsage {
 	h := handover.ResourceUsage{Clients: int64(b.clients.count()), Upstream: int64(b.hosts.Open()), Calls: b.inFlight.Load(),
-		Bytes: b.valueBytes.Load(), Leaving: b.currentPhase() > Serving}
+		Bytes: b.memory.reserved.Load(), Leaving: b.currentPhase() > Serving}
 	b.callPolicy(func() { h.Origin = b.policy.OriginInFlight() })
 	return h
 }
@@ -385,7 +385,7 @@
 	b.clients.setLimits(int(limits.clients-limits.clients/8), int(limits.clients))
 	b.hosts.SetMaxConnections(int(limits.upstream))
 	b.maxInFlight.Store(limits.requests)
-	b.maxValueBytes.Store(limits.bytes)
+	b.memory.limit.Store(limits.bytes)
 }
 
 // splitLimits lets each process keep the resources that it uses and a part of what is free. The second process needs reserved
