Reserve memory for answers of unknown length before they are read

Cause: httpwire.Read read such a body to its largest size with io.ReadAll and reserved it afterwards. The same class as the value under a used id: memory taken before it is counted. A chunked body was reserved chunk by chunk, but grew by doubling while it was counted once. Change: both are read in pieces of 4 to 64 KiB that are reserved before they are allocated; joining several pieces reserves the whole once more, as both exist then. The size of a peer's chunks does not decide how many pieces there are. Test: TestMemoryOfEndlessAnswers/no_length failed before (53 MB of 32) and passes; its row for chunks passed before.

--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -249,6 +249,30 @@
 	return o
 }
 
+// serveRaw starts a server that calls answer for each connection once something has arrived on it, and returns its address.
+func serveRaw(t *testing.T, answer func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := conn.Read(make([]byte, 4096)); err == nil {
+					answer(conn)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func serverAddr(s *httptest.Server) string { return s.Listener.Addr().String() }
 
 // deploymentSettings returns the settings section of a deployment's configuration, with the test's changes applied.
--- a/cmd/streamrail/memory_test.go
+++ b/cmd/streamrail/memory_test.go
@@ -82,3 +82,30 @@
 	expect(t, last.next(), "CLIENT_ERROR id is in hand")
 	expect(t, last.ask("mn\r\n"), "MN")
 }
+
+// TestMemoryOfEndlessAnswers guards against answers of the origin that are held before they are counted: a body whose length nobody told is
+// read in pieces as long as the origin sends them.
+func TestMemoryOfEndlessAnswers(t *testing.T) {
+	for name, endless := range map[string]struct{ head, piece string }{
+		"no length": {"HTTP/1.1 200 OK\r\n\r\n", valueChunk},
+		"chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(valueChunk), valueChunk)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			origin := serveRaw(t, func(conn net.Conn) {
+				io.WriteString(conn, endless.head)
+				for n := 0; n < largeValueSize-len(valueChunk); n += len(valueChunk) {
+					if _, err := io.WriteString(conn, endless.piece); err != nil {
+						return
+					}
+				}
+				time.Sleep(waitTimeout)
+			})
+			h := newHost(t, "h", answerMiss)
+			p := launchLimited(t, nil, map[string]string{"h": h.addr, "origin": origin})
+			for i := range 2 * limitedMemoryMB * (1 << 20) / largeValueSize {
+				p.dial(t).send(getRequest(fmt.Sprint("k", i), fmt.Sprint("a", i), 1500))
+			}
+			p.expectMemoryBelow(t, limitedMemoryMB<<20, 1200*time.Millisecond)
+		})
+	}
+}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -91,7 +91,7 @@
 			return r, ErrMalformed
 		case r.Status == 204 || r.Status == 304:
 		case chunked:
-			r.Body, err = readChunks(in, maxBytes, reserve)
+			r.Body, err = readChunks(&bodyReader{in: in, maxBytes: maxBytes, reserve: reserve})
 		case r.Status == 200 && length > maxBuffered && length <= maxBytes:
 			r.UnreadLength = length
 		case length > maxBytes || length > 0 && !reserve(length):
@@ -101,9 +101,9 @@
 			_, err = io.ReadFull(in, r.Body)
 		default: // the body ends with the connection
 			r.Close = true
-			r.Body, err = io.ReadAll(io.LimitReader(in, int64(maxBytes)+1))
-			if len(r.Body) > maxBytes || !reserve(len(r.Body)) {
-				return r, ErrTooLarge
+			body := &bodyReader{in: in, maxBytes: maxBytes, reserve: reserve}
+			if err = body.readToEnd(); err == nil {
+				r.Body, err = body.join()
 			}
 		}
 		return r, err
@@ -170,9 +170,10 @@
 	return r, length, chunked, ErrTooLarge
 }
 
-func readChunks(in *bufio.Reader, maxBytes int, reserve func(int) bool) (body []byte, err error) {
+// readChunks reads a chunked body and its trailers.
+func readChunks(body *bodyReader) ([]byte, error) {
 	for {
-		s, err := readLine(in)
+		s, err := readLine(body.in)
 		if err != nil {
 			return nil, err
 		}
@@ -181,23 +182,16 @@
 		if err != nil {
 			return nil, ErrMalformed
 		}
-		if len(body)+int(n) > maxBytes || !reserve(int(n)) {
-			return nil, ErrTooLarge
-		}
 		if n == 0 {
-			for range maxHeaderFields { // trailers
-				if s, err = readLine(in); err != nil || len(s) == 0 {
-					return body, err
-				}
+			if err = skipTrailers(body.in); err != nil {
+				return nil, err
 			}
-			return nil, ErrTooLarge
+			return body.join()
 		}
-		start := len(body)
-		body = append(body, make([]byte, n)...)
-		if _, err = io.ReadFull(in, body[start:]); err != nil {
+		if err = body.readExactly(int(n)); err != nil {
 			return nil, err
 		}
-		if s, err = readLine(in); err != nil {
+		if s, err = readLine(body.in); err != nil {
 			return nil, err
 		}
 		if len(s) != 0 {
@@ -205,3 +199,13 @@
 		}
 	}
 }
+
+// skipTrailers reads the header fields after the last chunk.
+func skipTrailers(in *bufio.Reader) error {
+	for range maxHeaderFields {
+		if s, err := readLine(in); err != nil || len(s) == 0 {
+			return err
+		}
+	}
+	return ErrTooLarge
+}
