Count what pieces of read-ahead take beside their bytes, and stop where there is no memory

Input that is read ahead of a connection in pieces of one byte took 64 bytes for each byte that was counted, so 1 MiB of it on one connection 64 MB. And where the budget was used up, each further wait of the connection's reader read up to 4 KiB more, uncounted. Cause: the same class, memory taken before or beside what is counted: fill reserved the bytes of a chunk after it had kept it, and the next wait began anew. Change: a chunk costs 128 bytes more than it holds, for the budget and for the bound on one connection; a buffer that got no memory reads nothing until it is empty. Test: TestReadAheadOfSmallReads (4.2 MB for a budget of 64 KiB) and TestReadAheadWithoutMemory (40,960 bytes for a budget of 0) failed before and pass.

--- a/internal/balancer/client_close.go
+++ b/internal/balancer/client_close.go
@@ -22,12 +22,16 @@
 	// reader gets there.
 	maxReadAheadBytes   = 1 << 20
 	readAheadChunkBytes = 4 << 10
+	// chunkOverheadBytes is what a chunk takes beside its bytes: itself, in a list that has grown, and the rest of its allocation.
+	chunkOverheadBytes = 128
 )
 
 // readAheadBuffer holds what was read from a connection while its reader was waiting for something else.
 type readAheadBuffer struct {
 	chunks []chunk
 	size   int   // bytes in all chunks
+	cost   int   // bytes that the chunks take in memory
+	full   bool  // there was no memory for the last chunk
 	err    error // error or end of the stream behind the chunks
 	memory memoryReservation
 	mu     sync.Mutex // guards the connection's read deadline while another goroutine reads ahead
@@ -42,7 +46,7 @@
 // release drops the chunks and releases their memory.
 func (a *readAheadBuffer) release() {
 	a.memory.release()
-	a.chunks, a.size = nil, 0
+	a.chunks, a.size, a.cost, a.full = nil, 0, 0, false
 }
 
 // take copies the oldest bytes of the buffer to p and returns when they had arrived. If empty is set, the connection itself must be read.
@@ -116,7 +120,7 @@
 
 // readAheadUntil reads into the buffer until done is closed, the stream ends or the buffer is full.
 func (c *clientConn) readAheadUntil(done <-chan struct{}) {
-	for c.readAheadBuf.size < maxReadAheadBytes && c.readAheadBuf.err == nil {
+	for c.readAheadBuf.cost < maxReadAheadBytes && !c.readAheadBuf.full && c.readAheadBuf.err == nil {
 		c.readAheadBuf.mu.Lock()
 		select {
 		case <-done:
@@ -135,7 +139,7 @@
 	}
 }
 
-// fill does one read into the buffer; false if there is no memory for more.
+// fill does one read into the buffer; false if there is no memory for more until the buffer is empty again.
 func (a *readAheadBuffer) fill(read func([]byte) (int, time.Time, error)) bool {
 	var buf [readAheadChunkBytes]byte
 	n, arrived, err := read(buf[:])
@@ -147,7 +151,9 @@
 	}
 	a.chunks = append(a.chunks, chunk{bytes.Clone(buf[:n]), arrived})
 	a.size += n
-	return a.memory.reserve(readAhead, n)
+	a.cost += n + chunkOverheadBytes
+	a.full = !a.memory.reserve(readAhead, n+chunkOverheadBytes)
+	return !a.full
 }
 
 // pollInput reports whether there is unread input or the end of the stream. It asks the system without waiting and whatever the read
--- a/internal/balancer/client_close_test.go
+++ b/internal/balancer/client_close_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -308,3 +309,43 @@
 	x.expectAnswer("ms k 1 Ob Pc=pay,d=900,k=m,r=1\r\nv\r\n", "SERVER_ERROR failed")
 	x.expectAnswer("mg k v Oc Pc=read,d=900,r=1\r\n", "SERVER_ERROR busy")
 }
+
+// TestReadAheadOfSmallReads guards against read-ahead whose many small pieces take far more memory than their bytes, which alone were counted.
+func TestReadAheadOfSmallReads(t *testing.T) {
+	var budget memoryBudget
+	budget.limit.Store(64 << 10)
+	buffer := readAheadBuffer{memory: memoryReservation{budget: &budget}}
+	oneByte := func(p []byte) (int, time.Time, error) { return 1, time.Now(), nil }
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for buffer.fill(oneByte) {
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if taken := int64(after.HeapAlloc) - int64(before.HeapAlloc); taken > 4*budget.limit.Load() {
+		t.Errorf("%d pieces take %d bytes of %d", len(buffer.chunks), taken, budget.limit.Load())
+	}
+	runtime.KeepAlive(&buffer)
+}
+
+// TestReadAheadWithoutMemory guards against read-ahead that goes on, uncounted, at each wait of the connection's reader after the budget is
+// used up.
+func TestReadAheadWithoutMemory(t *testing.T) {
+	server, peer := net.Pipe()
+	defer peer.Close()
+	c := newClientConn(server, stall.New(time.Now()), time.Now())
+	c.readAheadBuf.memory.budget = &memoryBudget{}
+	go func() {
+		for {
+			if _, err := peer.Write(make([]byte, readAheadChunkBytes)); err != nil {
+				return
+			}
+		}
+	}()
+	for range 10 {
+		c.watchForClose(func() { time.Sleep(10 * time.Millisecond) })
+	}
+	if c.readAheadBuf.size > readAheadChunkBytes {
+		t.Errorf("%d bytes were read ahead without memory for them", c.readAheadBuf.size)
+	}
+}
