Log long writes whose time may be over before their last byte is read

Four places were possible: its last byte unread in this machine's socket, an answer that waits to be written, a timer that is set for the line's arrival and 30 s, or the rest of the value that is discarded before the answer. No decision changes. Where unread is the smaller, the rest waits on the client's machine for room.

--- a/internal/balancer/failure_log.go
+++ b/internal/balancer/failure_log.go
@@ -31,7 +31,7 @@
 // failureLog logs the attempts that failed, the requests that were given up after an attempt and the data that hosts sent for no
 // attempt, within limits.
 type failureLog struct {
-	failures, givenUp, unattributed lineLimit
+	failures, givenUp, unattributed, unread lineLimit
 }
 
 // reset begins a new period.
@@ -39,6 +39,7 @@
 	l.failures.reset()
 	l.givenUp.reset()
 	l.unattributed.reset()
+	l.unread.reset()
 }
 
 // hasFailed reports whether an attempt's outcome explains that its request was repeated or refused.
@@ -69,6 +70,18 @@
 		Msg("request given up")
 }
 
+// logUnreadUpload logs that the time of a long write may be over, although its last byte has not been read.
+func (b *Balancer) logUnreadUpload(c *clientRequest) {
+	if !b.failureLog.unread.allow() {
+		return
+	}
+	receiver := c.client.receiver
+	unread, known := receiver.unreadBytes()
+	b.log.Warn().Str("request", string(c.ID)).Int("length", c.Length).Int64("missing", c.upload.end-receiver.inputState().taken).
+		Int("unread", unread).Bool("unread_known", known).Int("attempts", len(c.attempts)).Int("in_flight", c.inFlight).
+		Float64("since_arrival_ms", milliseconds(time.Since(c.arrived))).Msg("long write not read in time")
+}
+
 // logUnattributed logs data from a host that was not taken as the answer to an attempt.
 func (b *Balancer) logUnattributed(u upstream.Unattributed) {
 	if !b.failureLog.unattributed.allow() {
--- a/internal/balancer/receiver.go
+++ b/internal/balancer/receiver.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // receiver reads a client connection and returns the earliest time at which what it read can have arrived. The time of the read itself
 // is too late if the bytes waited unread: because the reader had paused, in the accept queue, or while the whole process was stalled.
-// It must be used by one goroutine at a time.
+// It must be used by one goroutine at a time, apart from the methods that say otherwise.
 type receiver struct {
 	conn    net.Conn
 	raw     syscall.RawConn // nil: the connection is not a socket
@@ -34,11 +35,22 @@
 	lastByteAt       time.Time     // when the last byte that was read had arrived: not before the time that the read returned
 	bytesWithoutWait int           // bytes that were there without a wait, since the last read that had to wait
 	settleTime       time.Duration // 0: the client was not blocked by a full window; otherwise it may have more to send until nothing has arrived for this time
+
+	mu    sync.Mutex
+	input inputState // for other goroutines; guarded by mu
+}
+
+// inputState is what is known about the input that a receiver has not read yet.
+type inputState struct {
+	taken        int64         // bytes read so far
+	arrivedAfter time.Time     // the client wrote what is not read yet after that
+	waitingSince time.Time     // a read has waited for input since then; zero: none waits
+	settleTime   time.Duration // as receiver.settleTime
 }
 
 // newReceiver returns a receiver of a connection on which nothing had arrived at emptyAt.
 func newReceiver(conn net.Conn, stalls *stall.Detector, emptyAt time.Time) *receiver {
-	r := &receiver{conn: conn, raw: rawConnOf(conn), stalls: stalls, arrivedAfter: emptyAt}
+	r := &receiver{conn: conn, raw: rawConnOf(conn), stalls: stalls, arrivedAfter: emptyAt, input: inputState{arrivedAfter: emptyAt}}
 	r.tryOnce = r.tryRead
 	return r
 }
@@ -73,6 +85,43 @@
 	if r.settleTime == 0 {
 		r.arrivedAfter = r.lastSyscallAt
 	}
+	r.publish(0, r.emptyAt)
+}
+
+// publish updates the input state after a read of n bytes, or when a read begins to wait.
+func (r *receiver) publish(n int, waitingSince time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.input.taken += int64(n)
+	r.input.arrivedAfter, r.input.waitingSince, r.input.settleTime = r.arrivedAfter, waitingSince, r.settleTime
+}
+
+// inputState returns what is known about the unread input. Any goroutine may call it.
+func (r *receiver) inputState() inputState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.input
+}
+
+// earliestUnread returns the earliest time at which the client can have written input that was not read at the given time. Any
+// goroutine may call it.
+func (r *receiver) earliestUnread(state inputState, now time.Time) time.Time {
+	if !state.waitingSince.IsZero() && now.Sub(state.waitingSince) >= state.settleTime {
+		return r.stalls.EarliestEvent(state.waitingSince, now)
+	}
+	return state.arrivedAfter
+}
+
+// unreadBytes asks the system how many bytes it holds unread; false if it does not tell. Any goroutine may call it.
+func (r *receiver) unreadBytes() (n int, known bool) {
+	if r.raw == nil {
+		return 0, false
+	}
+	err := r.raw.Control(func(fd uintptr) {
+		unread, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		n, known = unread, err == nil
+	})
+	return n, known && err == nil
 }
 
 // read waits for bytes and returns the earliest time at which they can have arrived.
@@ -82,6 +131,7 @@
 	}
 	r.prepare(p)
 	if err = r.raw.Read(r.tryOnce); err != nil {
+		r.publish(0, time.Time{})
 		return 0, arrived, err
 	}
 	return r.result()
@@ -115,6 +165,7 @@
 
 func (r *receiver) result() (n int, arrived time.Time, err error) {
 	if r.err != nil {
+		r.publish(0, time.Time{})
 		return 0, arrived, r.err
 	}
 	arrived = r.earliestArrival()
@@ -127,6 +178,7 @@
 		r.arrivedAfter = r.lastSyscallAt
 	}
 	r.buf = nil
+	r.publish(r.n, time.Time{})
 	return r.n, arrived, nil
 }
 
@@ -207,6 +259,7 @@
 // readByTiming reads from a connection that is not a socket, and judges by the duration of the read whether it had to wait.
 func (r *receiver) readByTiming(p []byte) (n int, arrived time.Time, err error) {
 	startedAt := time.Now()
+	r.publish(0, startedAt)
 	n, err = r.conn.Read(p)
 	endedAt := time.Now()
 	if endedAt.Sub(startedAt) >= maxImmediateRead {
@@ -217,5 +270,6 @@
 	if n < len(p) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		r.arrivedAfter = startedAt
 	}
+	r.publish(n, time.Time{})
 	return n, arrived, err
 }
