Let a long write's time run before its last byte is read

A write whose attempt waited for a connection got none for as long as that took (10 s in a test). Cause: the deadline of a long write was set by the read of its last byte, and the value is read only as fast as an attempt writes it on. Until then the one timer was set for its line's arrival, d and 30 s. Change: the request's goroutine works out when the client can have written the last byte at the earliest, and gives the request up when its time from then on is over; the policy cancels the attempt, which never sent the last byte. A client that has certainly not written all keeps its time. The time told to a server counts from the same moment, and the last byte is not passed on once nobody waits. Late answers of long writes are counted and logged too. Why this holds: nothing that the attempt does delays the timer, and each of the two proofs that the time has not begun needs input that is certainly missing.

--- a/internal/balancer/delays.go
+++ b/internal/balancer/delays.go
@@ -44,8 +44,15 @@
 
 // recordLateAnswer counts and logs an answer that was written after its request's deadline.
 func (b *Balancer) recordLateAnswer(c *clientRequest, answer finalAnswer) {
-	late := -c.deadline.Remaining()
-	if late <= 0 || c.upload != nil { // the deadline of a long write is known only at its last byte
+	due := c.deadline
+	if c.upload != nil {
+		known := false
+		if due, known = c.upload.knownDeadline(); !known { // its client was still writing
+			return
+		}
+	}
+	late := -due.Remaining()
+	if late <= 0 {
 		return
 	}
 	b.delays.lateAnswers.Add(1)
--- a/internal/balancer/upload.go
+++ b/internal/balancer/upload.go
@@ -23,7 +23,9 @@
 	end          int64 // position in the connection's input behind the value and its line end
 
 	mu           sync.Mutex
-	incompleteAt time.Time // the client had not written all of the value by then
+	incompleteAt time.Time          // the client had not written all of the value by then
+	due          *deadline.Deadline // of the request; nil: not known yet
+	timedOut     bool               // the deadline passed before the last byte was read
 }
 
 // maxUploadTime is how long a client may take to write a value, beyond its time for the answer. Slow clients take some seconds; a client
@@ -38,7 +40,7 @@
 func newUpload(c *clientRequest) *upload {
 	u := &upload{request: c, remaining: c.Length, wanted: make(chan struct{}), connFree: make(chan struct{})}
 	u.Length, u.Reader, u.Done = c.Length, u, make(chan struct{})
-	u.ClientTimeout = c.Timeout - answerTravelReserve
+	u.TimeLeft = u.timeLeft
 	u.end, u.incompleteAt = c.client.inputPosition()+int64(c.Length+len("\r\n")), c.arrived
 	return u
 }
@@ -81,18 +83,30 @@
 // uploadCheckInterval is the longest time between two looks at whether the time of a long write may be over.
 const uploadCheckInterval = 50 * time.Millisecond
 
-// checkUpload looks at whether the time of a long write may be over, although its last byte has not been read. It returns when to look
-// again.
+// checkUpload gives up a long write whose time may be over, although its last byte has not been read. It returns when to look again.
 func (c *clientRequest) checkUpload() time.Duration {
-	now := time.Now()
-	due := deadline.After(c.upload.earliestCompletion(now), c.Timeout).Earlier(answerTravelReserve)
-	if left := due.Remaining(); left > 0 {
+	due := c.upload.earliestDeadline()
+	if left := due.Remaining() - c.balancer.decisionTime(); left > 0 {
 		return min(left, uploadCheckInterval)
 	}
-	c.balancer.logUnreadUpload(c)
+	if c.upload.timeOut(due) {
+		c.balancer.logUnreadUpload(c)
+		c.setDeadline(due)
+	}
 	return maxUploadTime
 }
 
+// setDeadline fixes the deadline of a long write, for this process and for the policy.
+func (c *clientRequest) setDeadline(due deadline.Deadline) {
+	c.armDeadlineTimer(due)
+	c.balancer.post(func() { c.balancer.policy.WriteReceived(c.id, c.balancer.toNanos(due)) })
+}
+
+// decisionTime returns how long before a deadline the policy decides about a request.
+func (b *Balancer) decisionTime() time.Duration {
+	return time.Duration(2*b.deployment.PolicyConfig.TimerGranularity + wheelTick)
+}
+
 // Read returns the last byte only once the line end after the value has arrived: until then the write must not run.
 func (u *upload) Read(p []byte) (n int, err error) {
 	u.startReading.Do(func() {
@@ -119,16 +133,54 @@
 		return 0, u.err
 	}
 	p[0] = lastBytes[0]
-	b := u.request.balancer
-	u.Deadline = deadline.After(u.request.client.commandArrival(), u.request.Timeout).Earlier(answerTravelReserve)
-	u.request.armDeadlineTimer(u.Deadline)
-	b.post(func() { b.policy.WriteReceived(u.request.id, b.toNanos(u.Deadline)) })
-	if u.TooLate() {
+	if !u.lastByteRead() || u.TooLate() || u.request.isUnwanted() {
 		return 0, errTooLate
 	}
 	return 1, nil
 }
 
+// lastByteRead fixes the deadline of the request; false if its time is over already.
+func (u *upload) lastByteRead() bool {
+	u.Deadline = deadline.After(u.request.client.commandArrival(), u.request.Timeout).Earlier(answerTravelReserve)
+	u.mu.Lock()
+	timedOut := u.timedOut
+	u.due = &u.Deadline
+	u.mu.Unlock()
+	if !timedOut {
+		u.request.setDeadline(u.Deadline)
+	}
+	return !timedOut
+}
+
+// timeOut ends the wait for the last byte, as the client's time may be over; false if the last byte has been read.
+func (u *upload) timeOut(due deadline.Deadline) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.due != nil {
+		return false
+	}
+	u.due, u.timedOut = &due, true
+	return true
+}
+
+// knownDeadline returns the deadline of the request; false if its last byte has not been read and its time is not over.
+func (u *upload) knownDeadline() (due deadline.Deadline, known bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.due == nil {
+		return due, false
+	}
+	return *u.due, true
+}
+
+// timeLeft returns the time that the client still waits if it has written the last byte by now.
+func (u *upload) timeLeft() time.Duration { return u.earliestDeadline().Remaining() }
+
+// earliestDeadline returns the deadline of the request if the client has written the last byte as early as is possible.
+func (u *upload) earliestDeadline() deadline.Deadline {
+	return deadline.After(u.earliestCompletion(time.Now()), u.request.Timeout).Earlier(answerTravelReserve)
+}
+
 // extendValueDeadline extends the read deadline for the next piece of a value. A client that stalls within a value is disconnected like
 // one that stalls within a command's line.
 func (c *clientConn) extendValueDeadline() {
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -19,7 +19,8 @@
 // clock and so must be called right before the write.
 func (a *Attempt) announcedTime() time.Duration {
 	if a.Upload != nil { // the host's work and the client's wait both begin with the last byte
-		return a.Upload.ClientTimeout - min(uploadAllowance, a.Upload.ClientTimeout/4)
+		left := a.Upload.TimeLeft()
+		return left - min(uploadAllowance, left/4)
 	}
 	remaining := a.Deadline.Remaining()
 	return remaining - min(networkAllowance, remaining/2) - a.transferTime()
--- a/internal/upstream/announce_test.go
+++ b/internal/upstream/announce_test.go
@@ -39,7 +39,7 @@
 		} {
 			a := &Attempt{Deadline: deadline.After(time.Now(), c.left), Value: make([]byte, c.value)}
 			if c.upload {
-				a.Upload = &Upload{ClientTimeout: time.Second}
+				a.Upload = &Upload{TimeLeft: func() time.Duration { return time.Second }}
 			}
 			if got := a.announcedTime(); got < c.least || got > c.most {
 				t.Errorf("%+v: announced %v", c, got)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -23,13 +23,13 @@
 
 // Upload is a long value that is still arriving from the client. Only one attempt can take it: Reader cannot be read a second time.
 type Upload struct {
-	Length        int
-	Reader        io.Reader         // fails if the value is incomplete
-	ClientTimeout time.Duration     // how long the client waits for the answer after its last byte
-	Deadline      deadline.Deadline // set by Reader before it returns the last byte
-	Done          chan struct{}     // closed when Reader is no longer read, by whoever took the upload
-	announced     time.Duration     // remaining time announced to the host
-	taken         atomic.Bool
+	Length    int
+	Reader    io.Reader            // fails if the value is incomplete
+	TimeLeft  func() time.Duration // how long the client still waits if it has sent its last byte by now; less than its whole time if it may have sent it before
+	Deadline  deadline.Deadline    // set by Reader before it returns the last byte
+	Done      chan struct{}        // closed when Reader is no longer read, by whoever took the upload
+	announced time.Duration        // remaining time announced to the host
+	taken     atomic.Bool
 }
 
 // TooLate reports that the host was given more time than the client would have left if the last byte were written now. This happens
