End the attempt that takes a long value once its request is answered

Its host took no more of the value, the write had been given up in time, and the commands behind it waited for the attempt to end, up to 5 s. Cause: the policy cancels an attempt only where the settings allow it, and the connection's reader waits for whoever reads the value. Such an attempt cannot run any more, as its last byte is not passed on after the answer; ending it cancels nothing that a host has. Change: the request's goroutine gives up the attempts of a long write that is answered before its last byte was read, whatever the settings say of cancelling. Test: TestLargeWriteNotTaken/may_cancel:_false failed before (5.03 s for a read of 0.6 s) and passes.

--- a/cmd/streamrail/stream_test.go
+++ b/cmd/streamrail/stream_test.go
@@ -138,18 +138,24 @@
 // TestLargeWriteNotTaken guards against a large write that gets no answer, as its host stops taking the value: the time of the request runs
 // from its last byte, which lies unread in the balancer's socket. Reads behind it are answered too.
 func TestLargeWriteNotTaken(t *testing.T) {
-	stopped := serveRaw(t, func(net.Conn) { time.Sleep(waitTimeout) })
-	d := newDiscoveryServer(t)
-	d.setHost("stopped", stopped, "cache", "active")
-	p := launchServing(t, deploymentConfig(d, freeAddr(t), readWriteThrough))
-	c := p.dial(t)
-	const timeout, slack = 600 * time.Millisecond, 500 * time.Millisecond
-	began := time.Now()
-	go fmt.Fprintf(c, "ms k %d Oa Pc=pay,d=%d\r\n%s\r\n%s", largeValueSize, timeout.Milliseconds(), strings.Repeat("w", largeValueSize), getRequest("k", "b", 600))
-	for _, request := range []string{"the write", "the read behind it"} {
-		got := c.next()
-		if took := time.Since(began); !strings.HasPrefix(got, "SERVER_ERROR ") || took > timeout+slack {
-			t.Errorf("%s: answered %q after %v", request, got, took)
-		}
+	for _, mayCancel := range []bool{true, false} {
+		t.Run(fmt.Sprint("may cancel: ", mayCancel), func(t *testing.T) {
+			t.Parallel()
+			stopped := serveRaw(t, func(net.Conn) { time.Sleep(waitTimeout) })
+			d := newDiscoveryServer(t)
+			d.setHost("stopped", stopped, "cache", "active")
+			settings := map[string]any{"extra": readWriteThrough["extra"], "caps": map[string]any{"mayCancel": mayCancel, "mostShots": 4, "connectTimeoutNs": 200000000, "keepaliveNs": 60e9}}
+			p := launchServing(t, deploymentConfig(d, freeAddr(t), settings))
+			c := p.dial(t)
+			const timeout, slack = 600 * time.Millisecond, 500 * time.Millisecond
+			began := time.Now()
+			go fmt.Fprintf(c, "ms k %d Oa Pc=pay,d=%d\r\n%s\r\n%s", largeValueSize, timeout.Milliseconds(), strings.Repeat("w", largeValueSize), getRequest("k", "b", 600))
+			for _, request := range []string{"the write", "the read behind it"} {
+				got := c.next()
+				if took := time.Since(began); !strings.HasPrefix(got, "SERVER_ERROR ") || took > timeout+slack {
+					t.Errorf("%s: answered %q after %v", request, got, took)
+				}
+			}
+		})
 	}
 }
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -102,6 +102,9 @@
 		if chosen && c.inFlight == 0 {
 			break
 		}
+		if chosen {
+			c.stopUpload()
+		}
 		select {
 		case e := <-c.attemptResults:
 			c.inFlight--
--- a/internal/balancer/upload.go
+++ b/internal/balancer/upload.go
@@ -163,6 +163,25 @@
 	return true
 }
 
+// isRead reports whether the last byte has been read in time.
+func (u *upload) isRead() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.due != nil && !u.timedOut
+}
+
+// stopUpload ends the attempt that takes a long value, if the request has been answered before the last byte was read. The attempt can no
+// longer run, and the commands behind the value wait for its end. This is no cancellation of a request that a host has, so it does not
+// depend on whether those are allowed.
+func (c *clientRequest) stopUpload() {
+	if c.upload == nil || c.upload.isRead() || c.isStreaming() {
+		return
+	}
+	for _, attempt := range c.attempts {
+		attempt.GiveUp()
+	}
+}
+
 // knownDeadline returns the deadline of the request; false if its last byte has not been read and its time is not over.
 func (u *upload) knownDeadline() (due deadline.Deadline, known bool) {
 	u.mu.Lock()
