--- a/internal/balancer/upload.go
+++ b/internal/balancer/upload.go
@@ -200,13 +200,6 @@
 	return deadline.After(u.earliestCompletion(time.Now()), u.request.Timeout).Earlier(answerTravelReserve)
 }
 
-// extendValueDeadline extends the read deadline for the next piece of a value. A client that stalls within a value is disconnected like
-// one that stalls within a command's line.
-func (c *clientConn) extendValueDeadline() {
-	c.commandDeadline = time.Now().Add(maxCommandTime)
-	c.conn.SetReadDeadline(c.commandDeadline)
-}
-
 // skipRemaining waits until no attempt reads the value any more and discards the rest of it; false if the start of the next command
 // cannot be found.
 func (u *upload) skipRemaining() bool {
