Start no program while a test looks for a free address

Cause: freeAddr closes its listener, but a program that another test starts at that moment holds a copy until it executes; the dial reached that copy. Change: freeAddr holds syscall.ForkLock for reading, so that no copy comes about. No check changes.

--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -354,8 +354,10 @@
 var loopbackAddrs atomic.Uint32
 
 // freeAddr returns an address with a free TCP port. Each result has its own loopback IP address: on a shared one another test could
-// take the port first.
+// take the port first. No program is started meanwhile: until it executes it would hold a copy of the listener, which takes connections.
 func freeAddr(t *testing.T) string {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	n := loopbackAddrs.Add(1)
 	l, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n/250, n%250+1))
 	if err != nil {
