Set the timer of a long write's checks for long writes only

Seen: reading the change again. Each request made and stopped a timer that only long writes need, and two functions fixed an upload's deadline, of which the later one could replace a time-out's. Change: the timer belongs to the upload; fixDeadline is one function, and the first call holds. The soak also wants an answer for what was sent before SIGTERM.

--- a/cmd/streamrail/blocked_peers_soak_test.go
+++ b/cmd/streamrail/blocked_peers_soak_test.go
@@ -116,13 +116,14 @@
 	answered *atomic.Int64
 }
 
-// ask sends a command and returns its answer; false once the connection has ended. It checks that the answer comes in time.
+// ask sends a command and returns its answer; false once the connection has ended. It checks that the answer comes, in time, unless the process
+// was told to end before the command was sent: then the connection may have been closed before it was read.
 func (c *soakClient) ask(command string, timeout time.Duration) (line string, open bool) {
 	const answerSlack = 550 * time.Millisecond // the operators' half second, and 50 ms for sockets
 	if _, err := io.WriteString(c.Conn, command); err != nil {
 		return "", false
 	}
-	sentAt := time.Now()
+	sentAt, beforeStop := time.Now(), !c.stopping.Load()
 	c.SetDeadline(sentAt.Add(waitTimeout))
 	line, err := c.in.ReadString('\n')
 	took := time.Since(sentAt)
@@ -131,7 +132,7 @@
 		_, err = c.in.Discard(length + 2)
 	}
 	switch {
-	case err != nil && !c.stopping.Load():
+	case err != nil && beforeStop:
 		c.Errorf("%.60q ended without an answer after %v: %v", command, took, err)
 	case err == nil && took > timeout+answerSlack:
 		c.Errorf("%.60q was answered %v after its time: %q", command, took-timeout, line)
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -87,8 +87,11 @@
 		b.policy.RequestArrived(policy.Request{ID: c.id, Customer: c.customer, Product: c.product, Key: policy.Key(c.Key),
 			Write: c.Write, ClientRetry: c.ClientRetry, Deadline: b.toNanos(due)})
 	})
-	uploadTimer := c.newUploadTimer()
-	defer uploadTimer.Stop()
+	var uploadCheck <-chan time.Time // never receives for a request that is no long write
+	if c.upload != nil {
+		uploadCheck = c.upload.checkTimer.C
+		defer c.upload.checkTimer.Stop()
+	}
 	gone := c.client.gone
 	for {
 		if gone != nil && c.client.hasLeft() { // checked before any action: no attempt starts for a client that has left
@@ -119,23 +122,14 @@
 			}
 		case <-c.deadlineTimer.C:
 			b.answerOnTimeout(c)
-		case <-uploadTimer.C:
-			uploadTimer.Reset(c.checkUpload())
+		case <-uploadCheck:
+			c.checkUpload()
 		case <-gone:
 		case <-c.notify:
 		}
 	}
 }
 
-// newUploadTimer returns the timer of checkUpload; it never fires for a request that is no long write.
-func (c *clientRequest) newUploadTimer() *time.Timer {
-	timer := time.NewTimer(uploadCheckInterval)
-	if c.upload == nil {
-		timer.Stop()
-	}
-	return timer
-}
-
 // reportAttemptEnd reports to the policy how an attempt ended.
 func (b *Balancer) reportAttemptEnd(c *clientRequest, e attemptResult) {
 	host := c.attempts[e.attempt].To
--- a/internal/balancer/upload.go
+++ b/internal/balancer/upload.go
@@ -20,7 +20,8 @@
 	wanted       chan struct{} // closed when an attempt begins to read the value
 	connFree     chan struct{} // closed when no other goroutine reads the connection
 	startReading sync.Once
-	end          int64 // position in the connection's input behind the value and its line end
+	checkTimer   *time.Timer // fires when checkUpload is due
+	end          int64       // position in the connection's input behind the value and its line end
 
 	mu           sync.Mutex
 	incompleteAt time.Time          // the client had not written all of the value by then
@@ -40,7 +41,7 @@
 func newUpload(c *clientRequest) *upload {
 	u := &upload{request: c, remaining: c.Length, wanted: make(chan struct{}), connFree: make(chan struct{})}
 	u.Length, u.Reader, u.Done = c.Length, u, make(chan struct{})
-	u.TimeLeft = u.timeLeft
+	u.TimeLeft, u.checkTimer = u.timeLeft, time.NewTimer(uploadCheckInterval)
 	u.end, u.incompleteAt = c.client.inputPosition()+int64(c.Length+len("\r\n")), c.arrived
 	return u
 }
@@ -83,17 +84,17 @@
 // uploadCheckInterval is the longest time between two looks at whether the time of a long write may be over.
 const uploadCheckInterval = 50 * time.Millisecond
 
-// checkUpload gives up a long write whose time may be over, although its last byte has not been read. It returns when to look again.
-func (c *clientRequest) checkUpload() time.Duration {
+// checkUpload gives up a long write whose time may be over, although its last byte has not been read; otherwise it sets the timer for the next look.
+func (c *clientRequest) checkUpload() {
 	due := c.upload.earliestDeadline()
 	if left := due.Remaining() - c.balancer.decisionTime(); left > 0 {
-		return min(left, uploadCheckInterval)
+		c.upload.checkTimer.Reset(min(left, uploadCheckInterval))
+		return
 	}
-	if c.upload.timeOut(due) {
+	if c.upload.fixDeadline(due, true) {
 		c.balancer.logUnreadUpload(c)
 		c.setDeadline(due)
 	}
-	return maxUploadTime
 }
 
 // setDeadline fixes the deadline of a long write, for this process and for the policy.
@@ -142,24 +143,22 @@
 // lastByteRead fixes the deadline of the request; false if its time is over already.
 func (u *upload) lastByteRead() bool {
 	u.Deadline = deadline.After(u.request.client.commandArrival(), u.request.Timeout).Earlier(answerTravelReserve)
-	u.mu.Lock()
-	timedOut := u.timedOut
-	u.due = &u.Deadline
-	u.mu.Unlock()
-	if !timedOut {
-		u.request.setDeadline(u.Deadline)
+	if !u.fixDeadline(u.Deadline, false) {
+		return false
 	}
-	return !timedOut
+	u.request.setDeadline(u.Deadline)
+	return true
 }
 
-// timeOut ends the wait for the last byte, as the client's time may be over; false if the last byte has been read.
-func (u *upload) timeOut(due deadline.Deadline) bool {
+// fixDeadline records the deadline of the request, either as its last byte has been read or as it has timed out before; false if the
+// other has come first.
+func (u *upload) fixDeadline(due deadline.Deadline, timedOut bool) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.due != nil {
 		return false
 	}
-	u.due, u.timedOut = &due, true
+	u.due, u.timedOut = &due, timedOut
 	return true
 }
 
