Share the seeds and the ending by signals between the soak tests

Change: runSoak and endWithSignals stand once for three soaks; the draws of each seed are as before.

--- a/cmd/streamrail/blocked_peers_soak_test.go
+++ b/cmd/streamrail/blocked_peers_soak_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -171,17 +170,10 @@
 // use their connections until the kill, at the earliest moment after SIGTERM. Each request is answered in time, a write that is sent again only as
 // told has one effect, and the memory stays below its limit.
 func TestBlockedPeersSoak(t *testing.T) {
-	seeds, first := soakSeeds()
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakBlockedPeers(t, uint64(seed))
-		})
-	}
+	runSoak(t, soakBlockedPeers)
 }
 
 func soakBlockedPeers(t *testing.T, seed uint64) {
-	const killAfter = 3*time.Second + 700*time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 0))
 	o := &troubledOrigin{random: rand.New(rand.NewPCG(seed, 1)), applied: map[string]time.Time{}}
 	settings := map[string]any{"caps": map[string]any{"mayCancel": random.IntN(4) > 0, "mostShots": 4, "connectTimeoutNs": 200000000, "keepaliveNs": 60e9,
@@ -209,22 +201,7 @@
 		})
 	}
 	p.expectMemoryBelow(t, limitedMemoryMB<<20, time.Duration(4000+random.IntN(2000))*time.Millisecond)
-	for range random.IntN(6) {
-		p.Process.Signal(syscall.SIGHUP)
-		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
-	}
-	stopping.Store(true)
-	p.Process.Signal(syscall.SIGTERM)
-	p.Process.Signal(syscall.SIGHUP)
-	select {
-	case err := <-p.exited:
-		p.exited <- err
-		if code := p.ProcessState.ExitCode(); code != 0 {
-			t.Errorf("exit code %d", code)
-		}
-	case <-time.After(killAfter):
-		p.Process.Kill()
-	}
+	p.endWithSignals(t, random, func() { stopping.Store(true) })
 	clients.Wait()
 	if o.mu.Lock(); len(o.twice) > 0 {
 		t.Errorf("writes had their effect twice: %q", o.twice)
--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -406,6 +407,28 @@
 	}
 }
 
+// endWithSignals ends the process by a series of SIGHUP, SIGTERM and one more SIGHUP, and kills it at the earliest moment after SIGTERM at
+// which operators may do so. It calls beforeStop right before SIGTERM.
+func (p *balancerProcess) endWithSignals(t *testing.T, random *rand.Rand, beforeStop func()) {
+	const killAfter = 3*time.Second + 700*time.Millisecond
+	for range random.IntN(6) {
+		p.Process.Signal(syscall.SIGHUP)
+		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+	beforeStop()
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	select {
+	case err := <-p.exited:
+		p.exited <- err
+		if code := p.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("exit code %d", code)
+		}
+	case <-time.After(killAfter):
+		p.Process.Kill()
+	}
+}
+
 // deploymentConfig returns a configuration with a discovery server, a listen address and changes to the settings.
 func deploymentConfig(d *discoveryServer, listen string, change map[string]any) map[string]any {
 	return map[string]any{"name": "n0", "listen": listen, "discovery": serverAddr(d.Server), "seed": "8c1f30d27a5be964",
--- a/cmd/streamrail/long_list_test.go
+++ b/cmd/streamrail/long_list_test.go
@@ -77,17 +77,22 @@
 	return seeds, first
 }
 
-// TestLongListSoak draws from a seed the number of hosts, the balancer's share of a core and the sequence of disturbances.
-func TestLongListSoak(t *testing.T) {
+// runSoak runs a soak test once for each seed.
+func runSoak(t *testing.T, soak func(t *testing.T, seed uint64)) {
 	seeds, first := soakSeeds()
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			soakLongList(t, rand.New(rand.NewPCG(uint64(seed), 0)))
+			soak(t, uint64(seed))
 		})
 	}
 }
 
+// TestLongListSoak draws from a seed the number of hosts, the balancer's share of a core and the sequence of disturbances.
+func TestLongListSoak(t *testing.T) {
+	runSoak(t, func(t *testing.T, seed uint64) { soakLongList(t, rand.New(rand.NewPCG(seed, 0))) })
+}
+
 func soakLongList(t *testing.T, rng *rand.Rand) {
 	const duration = 20 * time.Second
 	hosts := []int{200, 1000, longListHosts}[rng.IntN(3)]
--- a/cmd/streamrail/second_answer_test.go
+++ b/cmd/streamrail/second_answer_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -325,17 +324,10 @@
 // TestSecondAnswerSoak draws from a seed who sends second answers, which and when, a crowd of idle clients and a series of signals. Clients
 // keep using their connections until the process is killed, at the earliest moment that is allowed after SIGTERM.
 func TestSecondAnswerSoak(t *testing.T) {
-	seeds, first := soakSeeds()
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			soakSecondAnswers(t, uint64(seed))
-		})
-	}
+	runSoak(t, soakSecondAnswers)
 }
 
 func soakSecondAnswers(t *testing.T, seed uint64) {
-	const killAfter = 3*time.Second + 700*time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 0))
 	draw := func(target string) string {
 		delay := []time.Duration{0, 10 * time.Millisecond, 100 * time.Millisecond}[random.IntN(3)]
@@ -388,20 +380,6 @@
 		})
 	}
 	time.Sleep(time.Duration(1000+random.IntN(1000)) * time.Millisecond)
-	for range random.IntN(6) {
-		p.Process.Signal(syscall.SIGHUP)
-		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
-	}
-	p.Process.Signal(syscall.SIGTERM)
-	p.Process.Signal(syscall.SIGHUP)
-	select {
-	case err := <-p.exited:
-		p.exited <- err
-		if code := p.ProcessState.ExitCode(); code != 0 {
-			t.Errorf("exit code %d", code)
-		}
-	case <-time.After(killAfter):
-		p.Process.Kill()
-	}
+	p.endWithSignals(t, random, func() {})
 	clients.Wait()
 }
