--- a/cmd/streamrail/memory_test.go
+++ b/cmd/streamrail/memory_test.go
@@ -27,9 +27,15 @@
 	return total
 }
 
+// raceMemoryFactor is by how much the race detector multiplies the memory of a program, at the most.
+const raceMemoryFactor = 10
+
 // expectMemoryBelow polls the memory of the process for some time and checks that it stays below a limit.
 func (p *balancerProcess) expectMemoryBelow(t *testing.T, limit int64, during time.Duration) {
 	t.Helper()
+	if len(buildFlags) > 0 { // the program is built with the race detector
+		limit *= raceMemoryFactor
+	}
 	peak := int64(0)
 	for began := time.Now(); time.Since(began) < during; time.Sleep(2 * time.Millisecond) {
 		peak = max(peak, p.anonymousMemory(t))
