Count suppressed lines of all kinds, release only what is held, and share a test server

Seen: reading the whole change again. not_logged in the log's traffic line left out suppressed "long write not read in time" lines; each request released three uses of memory, of which most hold nothing; the soak's origin had an accept loop of its own beside serveRaw's. Change: failureLog lists its limits once, for their reset and their sum; a use that holds nothing is skipped; serveRaw leaves the reading to its callers. No check changes.

--- a/cmd/streamrail/blocked_peers_soak_test.go
+++ b/cmd/streamrail/blocked_peers_soak_test.go
@@ -55,7 +55,6 @@
 
 // serve handles the one request of a connection.
 func (o *troubledOrigin) serve(conn net.Conn) {
-	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
@@ -91,21 +90,6 @@
 	io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
 }
 
-// start listens and serves.
-func (o *troubledOrigin) start(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
-			go o.serve(conn)
-		}
-	}()
-	return l.Addr().String()
-}
-
 // soakClient sends one request after another on one connection.
 type soakClient struct {
 	*client
@@ -178,7 +162,7 @@
 	o := &troubledOrigin{random: rand.New(rand.NewPCG(seed, 1)), applied: map[string]time.Time{}}
 	settings := map[string]any{"caps": map[string]any{"mayCancel": random.IntN(4) > 0, "mostShots": 4, "connectTimeoutNs": 200000000, "keepaliveNs": 60e9,
 		"retryAfter": true, "maxRetryAfterNs": 2e9}}
-	p := launchLimited(t, settings, map[string]string{"h": newHost(t, "h", answerMiss).addr, "origin": o.start(t)})
+	p := launchLimited(t, settings, map[string]string{"h": newHost(t, "h", answerMiss).addr, "origin": serveRaw(t, o.serve)})
 	for range random.IntN(2) * 100 {
 		p.dial(t)
 	}
--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -250,8 +250,8 @@
 	return o
 }
 
-// serveRaw starts a server that calls answer for each connection once something has arrived on it, and returns its address.
-func serveRaw(t *testing.T, answer func(net.Conn)) string {
+// serveRaw starts a server that calls serve for each connection and then closes it, and returns its address.
+func serveRaw(t *testing.T, serve func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -265,9 +265,7 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 4096)); err == nil {
-					answer(conn)
-				}
+				serve(conn)
 			}()
 		}
 	}()
--- a/cmd/streamrail/memory_test.go
+++ b/cmd/streamrail/memory_test.go
@@ -98,6 +98,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			origin := serveRaw(t, func(conn net.Conn) {
+				if _, err := conn.Read(make([]byte, 4096)); err != nil {
+					return
+				}
 				io.WriteString(conn, endless.head)
 				for n := 0; n < largeValueSize-len(valueChunk); n += len(valueChunk) {
 					if _, err := io.WriteString(conn, endless.piece); err != nil {
--- a/internal/balancer/failure_log.go
+++ b/internal/balancer/failure_log.go
@@ -34,12 +34,24 @@
 	failures, givenUp, unattributed, unread lineLimit
 }
 
+// limits returns the limits of all kinds of lines.
+func (l *failureLog) limits() []*lineLimit {
+	return []*lineLimit{&l.failures, &l.givenUp, &l.unattributed, &l.unread}
+}
+
 // reset begins a new period.
 func (l *failureLog) reset() {
-	l.failures.reset()
-	l.givenUp.reset()
-	l.unattributed.reset()
-	l.unread.reset()
+	for _, limit := range l.limits() {
+		limit.reset()
+	}
+}
+
+// suppressed returns how many lines of all kinds were not logged.
+func (l *failureLog) suppressed() (lines int64) {
+	for _, limit := range l.limits() {
+		lines += limit.suppressed.Load()
+	}
+	return lines
 }
 
 // hasFailed reports whether an attempt's outcome explains that its request was repeated or refused.
@@ -95,6 +107,5 @@
 // appendConnections adds the counts of closed connections, of unattributed data and of lines that were not logged to a report.
 func (b *Balancer) appendConnections(line *zerolog.Event) *zerolog.Event {
 	stats := b.hosts.Stats()
-	notLogged := b.failureLog.failures.suppressed.Load() + b.failureLog.givenUp.suppressed.Load() + b.failureLog.unattributed.suppressed.Load()
-	return line.Interface("closed", stats.Closed).Interface("not_believed", stats.Unattributed).Int64("not_logged", notLogged)
+	return line.Interface("closed", stats.Closed).Interface("not_believed", stats.Unattributed).Int64("not_logged", b.failureLog.suppressed())
 }
--- a/internal/balancer/memory.go
+++ b/internal/balancer/memory.go
@@ -74,7 +74,9 @@
 		return
 	}
 	for use := range r.held {
-		r.budget.release(memoryUse(use), r.held[use].Swap(0))
+		if bytes := r.held[use].Swap(0); bytes > 0 {
+			r.budget.release(memoryUse(use), bytes)
+		}
 	}
 }
 
