--- a/internal/rehearsal/standin/standin_test.go
+++ b/internal/rehearsal/standin/standin_test.go
@@ -141,6 +141,27 @@
 	}
 }
 
+// Guards against a cut link that still establishes a connection because its host was accepting when the cut began.
+func TestCutWhileAccepting(t *testing.T) {
+	for range 16 { // side by side, so that they hold each other up
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			_, n := newEnvironment(t, "[[node]]\nname = \"node\"")
+			for range 30 {
+				dial(t, n.Addr(0))
+				n.Cut(0, true)
+				if c, err := net.DialTimeout("tcp", n.Addr(0), 20*time.Millisecond); err == nil {
+					c.Close()
+					t.Fatal("a connection was established over a cut link")
+				}
+				if err := n.Cut(0, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // A cache host rejects commands on connections above its limit. A successor at the same address counts as a new process.
 func TestConnections(t *testing.T) {
 	w, n := newEnvironment(t, "[[node]]\nname = \"node\"\nconnections = 1\nwarm_for = \"10s\"")
