Find the process that serves whichever process of an upgrade has died

Callers saw: a host taken out by hand got requests after the yes. The newer process of an upgrade had been killed after it took clients; the next one did not find the older process and served as if alone beside it. With [fleet] it did not start at all.

Cause: all processes shared one path, which the newer one took by rename when it took clients. When it died the path led to a socket without a process, and a refused connection was taken as a proof that nobody serves. The older process had logged the end of the upgrade, and the next one neither a takeover nor a refusal.

Change: each process listens at a socket with a name of its own; one that starts tries all names and believes only answers. The common path is a second name of the process that serves alone. A kernel lock, held from the search until the process can be found itself, keeps two starts from missing each other. A process that meets an upgrade under way waits for its end, and ends with an error after 4 s in place of serving beside the two.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -27,10 +27,17 @@
 
 // launchReady starts a process with an admin address and waits until it reports that it is ready. It takes over from a process that
 // runs with the same client address and directory.
-func launchReady(t *testing.T, config map[string]any, dir string) (p *balancerProcess, adminAddr string) {
+func launchReady(t *testing.T, config map[string]any, dir string, env ...string) (p *balancerProcess, adminAddr string) {
 	adminAddr = freeAddr(t)
-	p = launch(t, config, "GW_ADMIN_ADDR="+adminAddr, "TMPDIR="+dir)
+	p = launch(t, config, append(env, "GW_ADMIN_ADDR="+adminAddr, "TMPDIR="+dir)...)
 	p.addr = config["listen"].(string)
+	waitForReady(t, adminAddr)
+	return p, adminAddr
+}
+
+// waitForReady waits until the process with an admin address reports that it is ready.
+func waitForReady(t *testing.T, adminAddr string) {
+	t.Helper()
 	waitUntil(t, "ready", func() bool {
 		conn, err := net.Dial("tcp", adminAddr)
 		if err != nil {
@@ -40,7 +47,6 @@
 		status, _ := callAdmin(t, adminAddr, "GET", "/api/ready", "")
 		return status == 200
 	})
-	return p, adminAddr
 }
 
 // shortDir returns a new directory with a path short enough for a Unix socket in it.
@@ -184,9 +190,7 @@
 	}{
 		"nobody": {func(*testing.T, string, string) {}, ""},
 		"a socket that was left": {func(t *testing.T, socketPath, _ string) {
-			l, _ := net.ListenUnix("unix", &net.UnixAddr{Name: socketPath, Net: "unix"})
-			l.SetUnlinkOnClose(false)
-			l.Close()
+			replaceByDeadSocket(t, socketPath)
 		}, ""},
 		"no socket at all": {func(t *testing.T, socketPath, _ string) { os.WriteFile(socketPath, []byte("x"), 0o600) }, ""},
 		"one that hangs":   {func(t *testing.T, socketPath, _ string) { listenAt(t, socketPath, func(net.Conn) {}) }, "as if alone"},
@@ -236,7 +240,7 @@
 func TestNewerProcessDies(t *testing.T) {
 	dir, c := oneHostConfig(t)
 	older, _ := launchReady(t, c, dir)
-	sock := filepath.Join(dir, "streamrail-"+strings.ReplaceAll(older.addr, ":", "_")+".sock")
+	sock := commonSocket(dir, older.addr)
 	conn, err := net.Dial("unix", sock)
 	if err != nil {
 		t.Fatal(err)
@@ -263,3 +267,116 @@
 	p, _ := launchReady(t, c, dir)
 	p.waitForLog(t, "taking over")
 }
+
+// expectOneBalancer excludes the host at one process of an upgrade and checks that it is excluded at the other one too.
+func expectOneBalancer(t *testing.T, askedAddr, otherAddr string) {
+	t.Helper()
+	if status, text := callAdmin(t, askedAddr, "POST", "/api/exclude", `{"member":"h"}`); status != 200 {
+		t.Fatalf("exclude: %s", text)
+	}
+	if n := metric(t, otherAddr, "app_cluster_unhealthy"); n != 1 {
+		t.Error("a host that is excluded at one process is in use at the other one")
+	}
+}
+
+// commonSocket returns the path at which all versions look for a process that serves clients at an address.
+func commonSocket(dir, addr string) string {
+	return filepath.Join(dir, "streamrail-"+strings.ReplaceAll(addr, ":", "_")+".sock")
+}
+
+// replaceByDeadSocket replaces a file by a socket whose process has ended.
+func replaceByDeadSocket(t *testing.T, path string) {
+	t.Helper()
+	os.Remove(path)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+}
+
+// Guards against an older process that is no longer found once the newer one of an upgrade was killed after it took clients: the next
+// newer one served beside it, and hosts excluded there still got requests from the older one.
+func TestUpgradeAfterRollback(t *testing.T) {
+	fleetSettings := fmt.Sprintf("[fleet]\nname = \"f\"\naddress = %q\npeers = [%q]\n", freeUDP(t), freeUDP(t))
+	for name, fleet := range map[string]string{"alone": "", "in a fleet": fleetSettings} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, config := oneHostConfig(t)
+			file := filepath.Join(dir, "operator.toml")
+			if err := os.WriteFile(file, []byte(fleet), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			older, olderAddr := launchReady(t, config, dir, "STREAMRAIL_FILE="+file)
+			for range 2 {
+				killed, _ := launchReady(t, config, dir, "STREAMRAIL_FILE="+file)
+				killed.waitForLog(t, "taking over")
+				killed.Process.Kill()
+				killed.waitForExit(t)
+				replaceByDeadSocket(t, commonSocket(dir, older.addr)) // as versions do that know only this path
+			}
+			next, nextAddr := launchReady(t, config, dir, "STREAMRAIL_FILE="+file)
+			next.waitForLog(t, "taking over")
+			expect(t, older.dial(t).ask(getRequest("k", "a", 900)), "VA 10 Oa|value of k")
+			expectOneBalancer(t, nextAddr, olderAddr)
+		})
+	}
+}
+
+// Guards against a third process that serves beside the two of an upgrade: it takes over from the one that is left when the other one
+// ends, whichever that is and however it ends.
+func TestThirdProcessWaits(t *testing.T) {
+	for name, row := range map[string]struct {
+		endsOlder bool
+		signal    os.Signal
+	}{
+		"the older one is terminated": {true, syscall.SIGTERM},
+		"the older one is killed":     {true, os.Kill},
+		"the newer one is killed":     {false, os.Kill},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, config := oneHostConfig(t)
+			older, olderAddr := launchReady(t, config, dir)
+			newer, newerAddr := launchReady(t, config, dir)
+			ends, leftAddr := newer, olderAddr
+			if row.endsOlder {
+				ends, leftAddr = older, newerAddr
+			}
+			thirdAddr := freeAddr(t)
+			third := launch(t, config, "GW_ADMIN_ADDR="+thirdAddr, "TMPDIR="+dir)
+			time.Sleep(300 * time.Millisecond)
+			if strings.Contains(third.log.String(), "alone") || strings.Contains(third.log.String(), "taking over") {
+				t.Error("the third process did not wait")
+			}
+			ends.Process.Signal(row.signal)
+			third.waitForLog(t, "taking over")
+			waitForReady(t, thirdAddr)
+			expectOneBalancer(t, thirdAddr, leftAddr)
+		})
+	}
+	t.Run("neither ends", func(t *testing.T) {
+		t.Parallel()
+		dir, config := oneHostConfig(t)
+		launchReady(t, config, dir)
+		launchReady(t, config, dir)
+		third := launch(t, config, "GW_ADMIN_ADDR="+freeAddr(t), "TMPDIR="+dir)
+		if code := third.waitForExit(t); code == 0 {
+			t.Error("the third process ended as if all was well")
+		}
+		third.waitForLog(t, "an upgrade is under way")
+	})
+}
+
+// Guards against two processes that start at the same time and both serve as if alone.
+func TestTwoStartTogether(t *testing.T) {
+	dir, config := oneHostConfig(t)
+	firstAddr, secondAddr := freeAddr(t), freeAddr(t)
+	first := launch(t, config, "GW_ADMIN_ADDR="+firstAddr, "TMPDIR="+dir)
+	second := launch(t, config, "GW_ADMIN_ADDR="+secondAddr, "TMPDIR="+dir)
+	waitUntil(t, "one takes over from the other", func() bool {
+		return strings.Contains(first.log.String()+second.log.String(), "the newer process takes clients")
+	})
+	expectOneBalancer(t, firstAddr, secondAddr)
+}
--- a/internal/balancer/orders.go
+++ b/internal/balancer/orders.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -39,7 +38,7 @@
 	if b.fleet.settings == nil || !b.fleet.settings.Orders || b.deployment.Admin == "" {
 		return nil
 	}
-	return &exclusionOrders{maxExcludedShare: b.fleet.settings.OrdersPart, file: handover.Path(os.TempDir(), b.deployment.Listen, ".orders"), epoch: time.Now()}
+	return &exclusionOrders{maxExcludedShare: b.fleet.settings.OrdersPart, file: b.handoverPath(".orders"), epoch: time.Now()}
 }
 
 // startExclusionOrders loads the saved orders and starts to exchange orders over a transport.
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -56,7 +56,15 @@
 // Run takes the balancer through its phases and returns once it has stopped.
 func (b *Balancer) Run() error {
 	b.listeningSince = time.Now()
-	listener, older := b.takeOverListener() // nil: no older process serves on this address
+	listener, older, err := b.takeOverListener() // nil: no older process serves on this address
+	defer b.upgrade.startLock.Release()
+	if err != nil && b.currentPhase() != Starting { // shutdown was ordered while it waited
+		b.cleanUp()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	if listener != nil {
 		defer listener.Close()
 	}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -21,6 +21,7 @@
 type upgradeLink struct {
 	// mu serializes exclusions, which both processes apply in the order that the older one sets. It is taken before all other locks.
 	mu           sync.Mutex
+	startLock    *handover.StartLock   // held from the search for an older process until a newer one can connect
 	offer        *handover.Server      // lets a newer process connect
 	older        *handover.Peer        // nil if there is none
 	newer        *handover.Peer        // nil if there is none
@@ -41,30 +42,46 @@
 	usageInterval = 50 * time.Millisecond
 	// peerTimeout is how long the peer process may take to apply an exclusion; operators must get an answer within a second.
 	peerTimeout = 500 * time.Millisecond
+	// upgradeWait is how long a process that starts waits for an upgrade under way to end. An older process that was told to end has
+	// ended by then, and this one can still become ready within six seconds.
+	upgradeWait = 4 * time.Second
 )
 
 var (
-	errUpgradeRunning = errors.New("an upgrade is under way already")
-	errNotSaved       = errors.New("it is done, but could not be kept in a file yet: a restart would forget it")
-	errPeerSilent     = errors.New("this process has done it; the other one of an upgrade does not answer")
+	errNotServing = errors.New("it is ending")
+	errNotSaved   = errors.New("it is done, but could not be kept in a file yet: a restart would forget it")
+	errPeerSilent = errors.New("this process has done it; the other one of an upgrade does not answer")
 )
 
 // takeOverListener takes over the clients' listener from an older process that serves the same address; nil if there is none. A process
-// without an admin API takes no part in upgrades.
-func (b *Balancer) takeOverListener() (net.Listener, *handover.State) {
+// without an admin API takes no part in upgrades. The error means that this process may not serve beside those that do.
+func (b *Balancer) takeOverListener() (net.Listener, *handover.State, error) {
 	if b.deployment.Admin == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
-	listener, state, peer, err := handover.TakeOver(handover.Path(os.TempDir(), b.deployment.Listen, ".sock"))
-	if err == nil {
+	deadline := time.Now().Add(upgradeWait)
+	keepTrying := func() bool { return b.currentPhase() == Starting && time.Now().Before(deadline) }
+	var err error
+	if b.upgrade.startLock, err = handover.LockStart(b.handoverPath(".lock"), keepTrying); err != nil {
+		b.log.Warn().Err(err).Msg("starting without the lock on other starts")
+	}
+	listener, state, peer, err := handover.TakeOver(b.handoverPath(".sock"), keepTrying)
+	switch {
+	case err == nil:
 		b.log.Info().Int("excluded", len(state.Excluded)).Msg("taking over from an older process")
 		b.upgrade.older = peer
-		return listener, &state
-	}
-	if !errors.Is(err, handover.ErrNoOlderProcess) {
+		return listener, &state, nil
+	case errors.Is(err, handover.ErrUpgradeRunning):
+		return nil, nil, err
+	case !errors.Is(err, handover.ErrNoOlderProcess):
 		b.log.Warn().Err(err).Msg("could not take over from an older process, starting as if alone")
 	}
-	return nil, nil
+	return nil, nil, nil
+}
+
+// handoverPath returns the path of the socket or file with a suffix that all processes serving the same address share.
+func (b *Balancer) handoverPath(suffix string) string {
+	return handover.Path(os.TempDir(), b.deployment.Listen, suffix)
 }
 
 // listen opens the clients' address.
@@ -76,7 +93,7 @@
 }
 
 func (b *Balancer) exclusionFile() string {
-	return handover.Path(os.TempDir(), b.deployment.Listen, ".out")
+	return b.handoverPath(".out")
 }
 
 // restoreState restores the state that an older process handed over, or the exclusions that an earlier process saved.
@@ -116,7 +133,7 @@
 	if b.deployment.Admin == "" {
 		return
 	}
-	offer, err := handover.Serve(handover.Path(os.TempDir(), b.deployment.Listen, ".sock"), listener, b.handOver)
+	offer, err := handover.Serve(b.handoverPath(".sock"), listener, b.handOver)
 	if err != nil {
 		b.log.Warn().Err(err).Msg("a newer process cannot take over from this one")
 	}
@@ -124,11 +141,24 @@
 	u.offer = offer
 	if u.older != nil {
 		u.older.Send(handover.Message{Kind: handover.Ready})
+	} else {
+		b.publishOffer()
 	}
 	u.mu.Unlock()
+	u.startLock.Release()
 	u.takesClients.Store(true)
 }
 
+// publishOffer lets earlier versions find this process, which serves alone. The caller holds upgradeLink.mu.
+func (b *Balancer) publishOffer() {
+	if b.upgrade.offer == nil {
+		return
+	}
+	if err := b.upgrade.offer.Publish(); err != nil {
+		b.log.Warn().Err(err).Msg("an earlier version cannot take over from this one")
+	}
+}
+
 // closeHandover stops offering a handover and closes the connections to the peer processes.
 func (b *Balancer) closeHandover() {
 	u := &b.upgrade
@@ -136,6 +166,7 @@
 	defer u.mu.Unlock()
 	if u.offer != nil {
 		u.offer.Close()
+		u.offer = nil
 	}
 	for _, peer := range []*handover.Peer{u.older, u.newer} {
 		if peer != nil {
@@ -149,8 +180,11 @@
 	u := &b.upgrade
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.newer != nil || u.older != nil || b.currentPhase() != Serving {
-		return state, errUpgradeRunning
+	if u.newer != nil || u.older != nil {
+		return state, handover.ErrUpgradeRunning
+	}
+	if b.currentPhase() != Serving {
+		return state, errNotServing
 	}
 	b.listSource.mu.Lock()
 	state.List = b.discoveryNames().Format(b.listSource.snapshot())
@@ -230,6 +264,7 @@
 	debug.SetMemoryLimit(b.memoryLimit())
 	b.callPolicy(func() { b.policy.SetPeerOriginInFlight(false, 0) })
 	b.setSharesUpgrading(false)
+	b.publishOffer()
 }
 
 // deliverAnswer queues a message for the exchange that waits for it. If the queue is full of late answers, the oldest is dropped.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -9,9 +9,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -57,12 +59,10 @@
 type hello struct {
 	Version int
 	Refused string `json:",omitempty"`
+	Retry   bool   `json:",omitempty"` // the refusal is ErrUpgradeRunning
 	State
 }
 
-// ErrNoOlderProcess is returned by TakeOver if there is no older process.
-var ErrNoOlderProcess = errors.New("no process to take over from")
-
 // Path returns the path in dir of the socket or file with the given suffix for the process that serves clients at an
 // address. Both processes of an upgrade derive the same path from it.
 func Path(dir, listen, suffix string) string {
@@ -80,12 +80,9 @@
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
-// TakeOver takes over from the process that serves upgrades at the path (see Serve), if there is one.
-func TakeOver(path string) (listener net.Listener, state State, peer *Peer, err error) {
-	conn, err := net.DialTimeout("unix", path, exchangeTimeout)
-	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) { // no socket, or one that a process which has ended left behind
-		return nil, state, nil, ErrNoOlderProcess
-	}
+// takeOverFrom takes over from the process that listens at the socket of the given name.
+func takeOverFrom(name string) (listener net.Listener, state State, peer *Peer, err error) {
+	conn, err := net.DialTimeout("unix", name, exchangeTimeout)
 	if err != nil {
 		return nil, state, nil, err
 	}
@@ -119,6 +116,8 @@
 		return
 	}
 	switch {
+	case response.Retry:
+		err = ErrUpgradeRunning
 	case response.Refused != "":
 		err = errors.New(response.Refused)
 	case response.Version != protocolVersion:
@@ -194,25 +193,23 @@
 }
 
 // Server serves the Unix socket at which a newer process can take over from this one.
-type Server struct{ listener *net.UnixListener }
+type Server struct {
+	listener *net.UnixListener
+	path     string // the common path of all processes that serve the same clients' address
+	name     string // the name of this process's own socket
+}
 
-// Serve listens at a path for newer processes and replaces any older process that listens there. A newer process that
+// Serve listens for newer processes at a socket of its own, which TakeOver finds by the common path. A newer process that
 // connects gets the clients' listening socket and the state that prepareState returns. Messages sent to the peer during
 // prepareState or afterwards reach it only after that state.
 func Serve(path string, clientListener net.Listener, prepareState func(*Peer) (State, error)) (*Server, error) {
-	tempPath := fmt.Sprintf("%s.%d", path, os.Getpid())
-	os.Remove(tempPath)
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: tempPath, Net: "unix"})
+	name := path + "." + strconv.FormatUint(uint64(rand.Uint32()), 36)
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: name, Net: "unix"})
 	if err != nil {
 		return nil, err
 	}
-	l.SetUnlinkOnClose(false) // when it is closed, the path may belong to a newer process
-	if err = os.Chmod(tempPath, 0o600); err == nil {
-		err = os.Rename(tempPath, path)
-	}
-	if err != nil {
+	if err = os.Chmod(name, 0o600); err != nil {
 		l.Close()
-		os.Remove(tempPath)
 		return nil, err
 	}
 	go func() {
@@ -228,10 +225,25 @@
 			handOver(conn, clientListener, prepareState)
 		}
 	}()
-	return &Server{l}, nil
+	return &Server{listener: l, path: path, name: name}, nil
+}
+
+// Publish makes the common path a second name of this process's socket. Versions before this one look only there. It is for a
+// process that serves alone.
+func (s *Server) Publish() error {
+	link := s.name + "l"
+	if err := os.Link(s.name, link); err != nil {
+		return err
+	}
+	if err := os.Rename(link, s.path); err != nil {
+		os.Remove(link)
+		return err
+	}
+	os.Remove(link) // renaming a name to another one of the same file does nothing
+	return nil
 }
 
-// Close stops listening. A process that starts afterwards finds no process to take over from.
+// Close stops listening and removes the socket's own name. A process that starts afterwards finds no process to take over from.
 func (s *Server) Close() { s.listener.Close() }
 
 // handOver answers the connection of one newer process.
@@ -258,7 +270,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if answer.State, err = prepareState(p); err != nil {
-			answer.Refused = err.Error()
+			answer.Refused, answer.Retry = err.Error(), errors.Is(err, ErrUpgradeRunning)
 		}
 	}
 	if answer.Refused != "" {
