Pass host lists on to the newer process of an upgrade until the older one ends

Callers saw: where lists are asked for, a host that began to leave just after an upgrade got requests from the newer process for up to 5 s, though the older one was told at once.

Cause: the list handed over counted as one restored from before a start, after which the policy asks discovery at a random moment within 5 s.

Change: the list has one owner. The older process passes each answer of discovery that it applies on to the newer one; when it has ended or is silent for 0.5 s, the newer one asks for what has changed since the last answer. With an older process of an earlier version or another discovery service the newer one asks at once, in the latter case for the whole list: it had asked for changes after the other service's generation before.

TestListNewsDuringUpgrade failed before in four of four parts (3.4 s, allowed 2 s), TestUpgradeToAnotherDiscovery too (no list within 10 s); both pass.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -380,3 +380,63 @@
 	})
 	expectOneBalancer(t, firstAddr, secondAddr)
 }
+
+// Guards against a newer process that serves on the list handed over and asks discovery only seconds later, so that it sends to a host
+// which the older process, or nobody yet, has been told to leave.
+func TestListNewsDuringUpgrade(t *testing.T) {
+	for name, end := range map[string]os.Signal{"terminated": syscall.SIGTERM, "killed": os.Kill, "stopped": syscall.SIGSTOP, "serving": nil} {
+		t.Run("older process "+name, func(t *testing.T) {
+			t.Parallel()
+			d := newDiscoveryServer(t)
+			hosts := map[string]string{}
+			for _, id := range []string{"a", "b", "c"} {
+				hosts[id] = newHost(t, id, answerHit).addr
+				d.setHost(id, hosts[id], "cache", "active")
+			}
+			dir, config := shortDir(t), deploymentConfig(d, freeAddr(t), map[string]any{"discovery": "subscribe"})
+			older, _ := launchReady(t, config, dir)
+			d.waitForWatch(t)
+			config["seed"] = "f" + config["seed"].(string)[1:] // the seeds decide when a process would ask by itself: here after seconds
+			_, newerAddr := launchReady(t, config, dir)
+			for i, id := range []string{"a", "b"} { // the first while both serve, the second after the older one's end
+				if i == 1 && end != nil {
+					older.Process.Signal(end)
+					time.Sleep(100 * time.Millisecond)
+				}
+				d.setHost(id, hosts[id], "cache", "leaving")
+				told := time.Now()
+				waitUntil(t, "the newer process avoids "+id, func() bool { return metric(t, newerAddr, "app_cluster_unhealthy") == i+1 })
+				if took := time.Since(told); took > maxUpgradeNewsDelay {
+					t.Errorf("the newer process avoids %s only %v after discovery had it", id, took)
+				}
+			}
+		})
+	}
+}
+
+// maxUpgradeNewsDelay is the time after its readiness from which a newer process must know what discovery has.
+const maxUpgradeNewsDelay = 2 * time.Second
+
+// Guards against a newer process that takes the older one's lists, or their generations, for those of another discovery service.
+func TestUpgradeToAnotherDiscovery(t *testing.T) {
+	before, after := newDiscoveryServer(t), newDiscoveryServer(t)
+	addr := newHost(t, "h", answerHit).addr
+	for range 3 { // generations differ
+		before.setHost("h", addr, "cache", "active")
+	}
+	after.setHost("h", addr, "cache", "leaving")
+	dir, config := shortDir(t), deploymentConfig(before, freeAddr(t), map[string]any{"discovery": "subscribe"})
+	launchReady(t, config, dir)
+	config["discovery"] = serverAddr(after.Server)
+	_, newerAddr := launchReady(t, config, dir)
+	began := time.Now()
+	waitUntil(t, "the host is avoided", func() bool { return metric(t, newerAddr, "app_cluster_unhealthy") == 1 })
+	if took := time.Since(began); took > maxUpgradeNewsDelay {
+		t.Errorf("the host is avoided only %v after the newer process was ready", took)
+	}
+	before.setHost("h", addr, "cache", "active")
+	time.Sleep(200 * time.Millisecond)
+	if metric(t, newerAddr, "app_cluster_unhealthy") != 1 {
+		t.Error("the newer process follows the older one's discovery service")
+	}
+}
--- a/internal/balancer/discovery_watch.go
+++ b/internal/balancer/discovery_watch.go
@@ -27,11 +27,16 @@
 			list = discovery.List{}
 		}
 	}
-	b.applyHostList(policy.ListRestored, list)
+	kind := policy.ListRestored
+	if handedOver != nil {
+		kind = policy.ListHandedOver
+	}
+	b.applyHostList(kind, list)
 	if len(list.Hosts) == 0 {
 		return
 	}
-	if b.deployment.PolicyConfig.MustSubscribe { // each call loads discovery, so ask only for what has changed since
+	otherService := handedOver != nil && handedOver.ListAddr != "" && handedOver.ListAddr != b.listSource.addr
+	if b.deployment.PolicyConfig.MustSubscribe && !otherService { // each call loads discovery, so ask only for what has changed since
 		b.listSource.resumeFrom = &list.Generation
 	}
 	if handedOver != nil || b.deployment.PolicyConfig.MustSubscribe { // the list is current, or the policy decides when to ask for it
@@ -48,14 +53,25 @@
 	return discovery.NameIndexes{Zones: b.deployment.Zones, Kinds: b.deployment.Kinds, Yield: b.pause}
 }
 
-// startWatch starts to follow the host list at the source's address, beginning with the complete list, and stops the previous watch.
-func (b *Balancer) startWatch() {
+// followHostList begins to follow the host list: that of the older process of an upgrade, if it passes its lists on, or else discovery's.
+func (b *Balancer) followHostList(handedOver *handover.State) {
+	switch {
+	case handedOver == nil:
+		b.startWatch(!b.deployment.PolicyConfig.MustSubscribe)
+	case b.upgrade.follower != nil:
+		go b.followOlderProcess(b.upgrade.follower, b.upgrade.older)
+	default:
+		b.startWatch(true)
+	}
+}
+
+// startWatch starts to follow the host list at the source's address, beginning with the complete list, and stops the previous watch. If
+// it is not subscribed, it waits until the policy asks for the list.
+func (b *Balancer) startWatch(subscribed bool) {
 	b.listSource.mu.Lock()
 	defer b.listSource.mu.Unlock()
-	subscribed := !b.deployment.PolicyConfig.MustSubscribe
 	if b.listSource.stop != nil {
 		b.listSource.stop()
-		subscribed = true // the policy has subscribed at its start
 	}
 	ctx, stop := context.WithCancel(b.ctx)
 	b.listSource.stop = stop
@@ -75,9 +91,12 @@
 	b.listSource.mu.Lock()
 	sameAddress, watching := deployed.Discovery == b.listSource.addr, b.listSource.stop != nil
 	b.listSource.addr = deployed.Discovery
+	if !sameAddress {
+		b.listSource.resumeFrom = nil // generations of another address
+	}
 	b.listSource.mu.Unlock()
 	if watching && !sameAddress {
-		b.startWatch()
+		b.startWatch(true) // the policy has subscribed at its start
 	}
 }
 
@@ -143,5 +162,6 @@
 	} else {
 		b.applyHostList(policy.ListUpdate, list)
 	}
+	b.listSource.forwarder.forward(b.listSource.addr, list)
 	b.listSource.readyOnce.Do(func() { close(b.listSource.ready) })
 }
--- a/internal/balancer/discovery_watch_test.go
+++ b/internal/balancer/discovery_watch_test.go
@@ -112,7 +112,7 @@
 	b.listSource.dial = d.dial
 	d.began, d.changed, d.done = time.Now(), make(chan struct{}), make(chan struct{})
 	b.restoreHostList(nil)
-	b.startWatch()
+	b.startWatch(!b.deployment.PolicyConfig.MustSubscribe)
 	<-b.listSource.ready
 	return b
 }
--- a/internal/balancer/host_list.go
+++ b/internal/balancer/host_list.go
@@ -39,7 +39,7 @@
 		b.applyBatch(discovery.List{Hosts: batch, ReceivedAt: list.ReceivedAt})
 		b.pause()
 	}
-	if len(list.Hosts) > 0 || kind != policy.ListRestored {
+	if len(list.Hosts) > 0 || kind != policy.ListRestored && kind != policy.ListHandedOver {
 		b.hasHostList.Store(true)
 	}
 	b.log.Info().Int64("version", list.Generation).Bool("whole", list.Snapshot).Int("hosts", len(list.Hosts)).Int("changes", len(changes)).
--- a/internal/balancer/list_source.go
+++ b/internal/balancer/list_source.go
@@ -20,7 +20,8 @@
 	readyOnce  sync.Once
 	generation int64
 	hosts      map[policy.HostID]discovery.Host
-	resumeFrom *int64                                                            // generation of the list from before the start, if the watch continues from it
+	resumeFrom *int64                                                            // generation of the list from before the watch, if the watch continues from it
+	forwarder  *listForwarder                                                    // passes lists on to the newer process of an upgrade; nil if there is none
 	dial       func(ctx context.Context, network, addr string) (net.Conn, error) // nil: dial the network
 }
 
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -85,7 +85,7 @@
 	defer b.leaveFleet()
 	b.restoreHostList(older)
 	b.restoreState(older)
-	b.startWatch()
+	b.followHostList(older)
 	b.awaitHostList()
 	if listener == nil {
 		if b.currentPhase() != Starting { // shutdown was ordered before it served
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -25,6 +25,7 @@
 	offer        *handover.Server      // lets a newer process connect
 	older        *handover.Peer        // nil if there is none
 	newer        *handover.Peer        // nil if there is none
+	follower     *listFollower         // receives the older process's lists; nil if it does not pass them on
 	messageCount uint64                // numbers the messages that need an answer
 	answers      chan handover.Message // to the exchange that waits under mu, and late ones for which no exchange waits any more
 
@@ -70,6 +71,9 @@
 	case err == nil:
 		b.log.Info().Int("excluded", len(state.Excluded)).Msg("taking over from an older process")
 		b.upgrade.older = peer
+		if b.deployment.PolicyConfig.MustSubscribe && state.ListAddr == b.deployment.Discovery {
+			b.upgrade.follower = newListFollower(state.ListAddr)
+		}
 		return listener, &state, nil
 	case errors.Is(err, handover.ErrUpgradeRunning):
 		return nil, nil, err
@@ -186,9 +190,6 @@
 	if b.currentPhase() != Serving {
 		return state, errNotServing
 	}
-	b.listSource.mu.Lock()
-	state.List = b.discoveryNames().Format(b.listSource.snapshot())
-	b.listSource.mu.Unlock()
 	var learnt policy.Learnt
 	b.callPolicy(func() {
 		state.Excluded = b.excludedHosts()
@@ -197,6 +198,13 @@
 	if state.Learnt, err = json.Marshal(learnt); err != nil {
 		return state, err
 	}
+	b.listSource.mu.Lock()
+	state.List = b.discoveryNames().Format(b.listSource.snapshot())
+	if b.deployment.PolicyConfig.MustSubscribe {
+		state.ListAddr = b.listSource.addr
+		b.startForwardingLists(peer)
+	}
+	b.listSource.mu.Unlock()
 	state.Holds, state.Fleet = b.usage(), b.exportMembership()
 	u.newer = peer
 	b.splitLimits(handover.ResourceUsage{})
@@ -236,7 +244,10 @@
 func (b *Balancer) receiveFromOlder(peer *handover.Peer) {
 	go b.sendUsage(peer)
 	peer.Receive(func(m handover.Message) {
+		b.upgrade.follower.noteMessage(time.Since(b.epoch))
 		switch m.Kind {
+		case handover.ListUpdate:
+			b.upgrade.follower.receive(m)
 		case handover.UsageReport:
 			b.splitLimits(*m.Holds)
 		case handover.ExclusionNotice:
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -41,6 +41,7 @@
 // State is what the older process passes to the newer one in addition to the socket.
 type State struct {
 	List     json.RawMessage // the host list, in discovery's format
+	ListAddr string          `json:",omitempty"` // the address of the discovery service, if the older process sends a ListUpdate for each further answer
 	Excluded []string        // ids of the hosts that operators have excluded
 	Learnt   json.RawMessage // what the balancing decisions have learnt about hosts
 	Holds    ResourceUsage
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -18,6 +18,7 @@
 	ExclusionResponse Kind = "answer" // the result of an ExclusionRequest
 	ExclusionNotice   Kind = "ban"    // the older process has changed an exclusion; answered by ExclusionApplied
 	ExclusionApplied  Kind = "done"   // the newer process has applied an ExclusionNotice
+	ListUpdate        Kind = "list"   // the older process has applied an answer of discovery
 )
 
 // Message is one message between the two processes, sent as a line of JSON.
@@ -28,6 +29,9 @@
 	Out    bool           `json:",omitempty"` // whether that host is excluded
 	Fault  string         `json:",omitempty"` // in an ExclusionResponse: why the change failed
 	Holds  *ResourceUsage `json:",omitempty"` // in a UsageReport
+
+	ListAddr string          `json:",omitempty"` // in a ListUpdate: the address of the discovery service
+	List     json.RawMessage `json:",omitempty"` // in a ListUpdate: the answer, in discovery's format
 }
 
 // Peer is the connection to the other process of an upgrade.
--- a/policy/types.go
+++ b/policy/types.go
@@ -85,6 +85,7 @@
 	ListUpdate      ListKind = iota // changed entries
 	ListReplace                     // a complete list
 	ListRestored                    // a complete list from before the start, which may be outdated; may be empty
+	ListHandedOver                  // a complete list that another process keeps current until this one asks for lists itself; may be empty
 	ListUnavailable                 // no list: a request to discovery has failed
 )
 
