Keep accepted exclusion orders in force whatever the host list says

Callers saw: with orders = true and two of four hosts out by orders with a yes, one of them got requests again when the other one left the list.

Cause: the part that may be out without force was applied again at each look, to the hosts listed at that moment. Both balancers held the order and showed it as not in force from the moment at which three hosts were listed.

Change: an order carries how many hosts were listed when it was taken, and how many orders are in force follows from the orders alone. A later list, or none at a start, ends no order. Only orders of two sides of a cut that exceed the part together still wait, as TestTooMany asks. Repeating a forced order without force leaves it forced, and while orders wait repeating one is refused: both could take another host's place before. At a start, stored orders are in force before the first request and no longer overwrite the file of exclusions before it is read.

--- a/cmd/streamrail/orders_test.go
+++ b/cmd/streamrail/orders_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"streamrail/internal/admin"
+	"streamrail/internal/fleet/order"
+	"streamrail/internal/handover"
 )
 
 // postExclusion posts an exclude or include request to a balancer's admin API and returns the answer text.
@@ -135,6 +137,49 @@
 	}
 }
 
+// Guards against a host that gets requests again, though it is out by an order with a positive answer, because another host leaves the
+// list or because a balancer starts and has no list yet.
+func TestOrdersOutlastListChanges(t *testing.T) {
+	f := newFleet(t, 2, "orders = true\n", nil)
+	for _, id := range []string{"h2", "h3", "h4"} {
+		f.discovery.setHost(id, newHost(t, id, answerHit).addr, "cache", "active")
+	}
+	for _, m := range f.members {
+		waitUntil(t, "four hosts are listed", func() bool { return metric(t, m.adminAddr, "app_cluster_size") == 4 })
+	}
+	for _, id := range []string{"h", "h2"} {
+		f.members[0].postExclusion(t, "exclude", id, `,"wait_ms":3000`)
+	}
+	f.discovery.setHost("h", "", "cache", "left")
+	for _, m := range f.members {
+		waitUntil(t, "three hosts are listed", func() bool { return metric(t, m.adminAddr, "app_cluster_size") == 3 })
+	}
+	time.Sleep(3 * order.TickInterval)
+	for _, m := range f.members {
+		if n := metric(t, m.adminAddr, "app_cluster_unhealthy"); n != 1 {
+			t.Errorf("%s: %d of the listed hosts are out, want 1", m.name, n)
+		}
+		if shown := m.orders(t).Orders; len(shown) != 2 || !shown[0].InForce || !shown[1].InForce {
+			t.Errorf("%s: the orders are shown as %+v", m.name, shown)
+		}
+	}
+	f.discovery.setHost("h", newHost(t, "h", answerHit).addr, "cache", "active")
+	for _, m := range f.members {
+		m.Process.Kill()
+		m.Process.Wait()
+		// What was excluded at this balancer alone, before orders held for the fleet, has to stay beside them.
+		if err := handover.Save(handover.Path(m.tempDir, m.config["listen"].(string), ".out"), []string{"h3"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range f.members {
+		m.start(t)
+		if text := m.log.String(); strings.Count(text, `"out":true,"time"`) != 3 || strings.Contains(text, `"out":false`) {
+			t.Errorf("%s began to serve with other hosts excluded than by the orders: %s", m.name, text)
+		}
+	}
+}
+
 // TestOrdersOff checks that without orders = true an exclusion holds at one balancer only, and that the admin API answers requests
 // that need fleet-wide orders with an error.
 func TestOrdersOff(t *testing.T) {
--- a/internal/balancer/orders.go
+++ b/internal/balancer/orders.go
@@ -62,6 +62,7 @@
 			b.updateExclusionOrders(false, func(machine *fleetorder.Machine, now fleetorder.Moment) { machine.Receive(now, from, m) })
 		}
 	})
+	b.updateExclusionOrders(true, func(*fleetorder.Machine, fleetorder.Moment) {}) // stored orders are in force before the first request
 	go func() {
 		t := time.NewTicker(fleetorder.TickInterval)
 		defer t.Stop()
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -77,14 +77,14 @@
 	}
 	defer b.closeHandover()
 	defer b.cancel()
+	b.restoreHostList(older)
+	b.restoreState(older)
 	if older == nil {
-		if err := b.joinFleet(nil); err != nil {
+		if err := b.joinFleet(nil); err != nil { // after restoreState, as stored orders add to the stored exclusions
 			return err
 		}
 	}
 	defer b.leaveFleet()
-	b.restoreHostList(older)
-	b.restoreState(older)
 	b.followHostList(older)
 	b.awaitHostList()
 	if listener == nil {
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -39,6 +39,9 @@
 	Force bool   // takes effect however many hosts are excluded
 	Door  string // name of the balancer whose admin API took the order
 	Past  []ID   // earlier orders on this host, newest first, at most maxPast
+	// ListedHosts is how many cache hosts were listed when the order was taken; 0 if the order comes from a version that did not
+	// record it.
+	ListedHosts int
 }
 
 const (
@@ -49,12 +52,13 @@
 	maxBalancerNameBytes = 64   // length of a balancer's name
 	maxOrders            = 4096 // as many as hosts may be excluded at one balancer
 	maxConflicts         = 4096 // one for each order that may be held
+	maxListedHosts       = 1 << 20
 	// maxMessageBytes limits the orders in one message, so that the datagram has room for its other contents.
 	maxMessageBytes = 900
 )
 
 // size is the maximum number of bytes that an order takes in a message.
-func (o *Order) size() int { return 40 + len(o.Host) + len(o.Door) + 20*len(o.Past) }
+func (o *Order) size() int { return 45 + len(o.Host) + len(o.Door) + 20*len(o.Past) }
 
 // supersedes reports whether o takes precedence over other, an order on the same host. Every balancer decides alike: the higher count
 // wins, then exclusion wins over inclusion (needlessly excluding a host costs less than using one against an order), then the higher
@@ -91,7 +95,8 @@
 
 // IsValid reports whether an order from a file or another balancer has valid field values.
 func (o *Order) IsValid() bool {
-	return o.Host != "" && len(o.Host) <= maxHostBytes && len(o.Door) <= maxBalancerNameBytes && o.Count > 0 && o.Count < 1<<48 && o.By != 0 && len(o.Past) <= maxPast
+	return o.Host != "" && len(o.Host) <= maxHostBytes && len(o.Door) <= maxBalancerNameBytes && o.Count > 0 && o.Count < 1<<48 && o.By != 0 && len(o.Past) <= maxPast &&
+		o.ListedHosts >= 0 && o.ListedHosts <= maxListedHosts
 }
 
 // Config is the configuration of a Machine; it does not change during the life of a process.
@@ -239,18 +244,24 @@
 
 // Submit takes an operator's order; hosts is the number of cache hosts in this balancer's host list. An order that repeats the current
 // state still counts as a new one: giving the same order at two balancers is no conflict, and the most recent order takes precedence.
+// What has been forced stays forced until the host is included.
 func (m *Machine) Submit(host string, exclude, force bool, hosts int) (Order, error) {
-	o := Order{Host: host, ID: ID{1, m.config.Self}, Out: exclude, Force: force, Door: m.config.Name}
+	o := Order{Host: host, ID: ID{1, m.config.Self}, Out: exclude, Force: force, Door: m.config.Name, ListedHosts: min(hosts, maxListedHosts)}
+	repeats := false
 	i, held := m.find(host)
 	if held {
 		current := &m.orders[i]
 		o.Count = current.Count + 1
 		o.Past = append([]ID{current.ID}, current.Past...)
 		o.Past = o.Past[:min(len(o.Past), maxPast)]
+		if repeats = exclude && current.Out; repeats {
+			o.Force = force || current.Force
+			o.ListedHosts = max(o.ListedHosts, current.ListedHosts)
+		}
 	} else if len(m.orders) >= maxOrders {
 		return o, ErrTooManyOrders
 	}
-	if n := len(m.unforced()); exclude && !force && !(held && m.orders[i].Out) && n+1 > m.maxUnforced(hosts) {
+	if exclude && !o.Force && !m.allowsUnforced(repeats, hosts) {
 		return o, ErrTooManyExcluded
 	}
 	m.apply(o)
@@ -260,7 +271,34 @@
 	return o, nil
 }
 
-// maxUnforced is how many hosts may be excluded without force.
+// allowsUnforced reports whether one more host may be excluded without force. Repeating an order does not add a host, but while some
+// orders wait it could give the host another rank among them, so that it takes the place of one that is excluded.
+func (m *Machine) allowsUnforced(repeats bool, hosts int) bool {
+	standing := m.unforced()
+	if repeats {
+		return len(standing) <= m.maxInForce(standing, hosts)
+	}
+	return len(standing)+1 <= m.maxUnforced(hosts)
+}
+
+// maxInForce is how many of the standing orders without force are in force. It counts the hosts that were listed when the orders were
+// taken and not those that are listed now, so that no change of the list ends an exclusion: whatever one balancer, or several that
+// knew of each other's orders, accepted stays in force.
+func (m *Machine) maxInForce(standing []Order, listedNow int) int {
+	hosts := 0
+	for i := range standing {
+		if standing[i].ListedHosts == 0 && listedNow == 0 { // before the first list, nothing says that they are too many
+			return len(standing)
+		}
+		if standing[i].ListedHosts == 0 {
+			hosts = max(hosts, listedNow)
+		}
+		hosts = max(hosts, standing[i].ListedHosts)
+	}
+	return m.maxUnforced(hosts)
+}
+
+// maxUnforced is how many hosts may be excluded without force if so many are listed.
 func (m *Machine) maxUnforced(hosts int) int {
 	return max(1, int(m.config.MaxExcludedFraction*float64(hosts)))
 }
@@ -277,10 +315,11 @@
 }
 
 // Excluded returns the hosts that are excluded, sorted. Two balancers that do not know of each other's orders may together exceed the
-// allowed number; the hosts beyond it are not excluded, and all balancers with the same host list leave out the same ones.
+// allowed number; the hosts beyond it are not excluded, and all balancers leave out the same ones. The number of hosts listed now counts
+// only with orders that lack Order.ListedHosts.
 func (m *Machine) Excluded(hosts int) (excluded []string) {
 	unforced := m.unforced()
-	for _, o := range unforced[:min(len(unforced), m.maxUnforced(hosts))] {
+	for _, o := range unforced[:min(len(unforced), m.maxInForce(unforced, hosts))] {
 		excluded = append(excluded, o.Host)
 	}
 	for _, o := range m.orders {
--- a/internal/fleet/order/order_test.go
+++ b/internal/fleet/order/order_test.go
@@ -293,6 +293,53 @@
 	}
 }
 
+// Guards against an order with a positive answer that ends because fewer hosts are listed, or because another order is repeated.
+func TestAcceptedOrdersStay(t *testing.T) {
+	m := New(Config{Self: 5, MaxExcludedFraction: 0.5})
+	for _, host := range []string{"a", "b"} {
+		if _, err := m.Submit(host, true, false, 4); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectExcluded := func(when string, m *Machine, want ...string) {
+		t.Helper()
+		for listed := range 9 {
+			if got := m.Excluded(listed); !slices.Equal(got, want) {
+				t.Errorf("%s, with %d hosts listed: %v excluded, want %v", when, listed, got, want)
+			}
+		}
+	}
+	expectExcluded("two of four", m, "a", "b")
+	if _, err := m.Submit("a", true, false, 3); err != nil {
+		t.Errorf("repeating an order: %v", err)
+	}
+	expectExcluded("one repeated with three listed", m, "a", "b")
+	expectExcluded("read from the file", New(Config{Self: 6, MaxExcludedFraction: 0.5, StoredOrders: m.All()}), "a", "b")
+	if _, err := m.Submit("c", true, true, 4); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Submit("c", true, false, 4); err != nil {
+		t.Errorf("repeating a forced order without force: %v", err)
+	}
+	expectExcluded("a forced one repeated without force", m, "a", "b", "c")
+
+	other := New(Config{Self: 2, MaxExcludedFraction: 0.5}) // took two orders without knowledge of those above
+	for _, host := range []string{"d", "e"} {
+		if _, err := other.Submit(host, true, false, 4); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, o := range m.All() {
+		other.apply(o)
+	}
+	expectExcluded("two of each balancer", other, "c", "d", "e")
+	late := New(Config{Self: 1, MaxExcludedFraction: 0.5, StoredOrders: other.All()})
+	if _, err := late.Submit("a", true, false, 4); err != ErrTooManyExcluded {
+		t.Errorf("repeating an order while others wait: %v, want ErrTooManyExcluded", err)
+	}
+	expectExcluded("a waiting one repeated", late, "c", "d", "e")
+}
+
 // Hundreds of large orders reach a balancer that has none within a minute, and each order fits a message.
 func TestMany(t *testing.T) {
 	p := newSimulation(2, 1)
--- a/internal/fleet/transport/codec_test.go
+++ b/internal/fleet/transport/codec_test.go
@@ -179,12 +179,12 @@
 // An order with every field set is decoded as it was encoded, also with a list of earlier orders, the most deeply nested value of all
 // messages: a decoder with too low a limit of nesting drops it.
 func TestOrdersComeThrough(t *testing.T) {
-	o := order.Order{Host: "h", ID: order.ID{Count: 7, By: 9}, Out: true, Force: true, Door: "n0", Past: []order.ID{{Count: 6, By: 1 << 60}, {Count: 5, By: 2}}}
+	o := order.Order{Host: "h", ID: order.ID{Count: 7, By: 9}, Out: true, Force: true, Door: "n0", ListedHosts: 1 << 20, Past: []order.ID{{Count: 6, By: 1 << 60}, {Count: 5, By: 2}}}
 	m := &order.Message{Digest: 1 << 63, IsReply: true, Orders: []order.Order{o, o}}
 	if got, ok := DecodeOrders(EncodeOrders(m)); !ok || !reflect.DeepEqual(got, m) {
 		t.Errorf("%+v %v, expected %+v", got, ok, m)
 	}
-	for _, bad := range []order.Order{{ID: o.ID}, {Host: "h", ID: order.ID{By: 1}}, {Host: strings.Repeat("h", 300), ID: o.ID}} {
+	for _, bad := range []order.Order{{ID: o.ID}, {Host: "h", ID: order.ID{By: 1}}, {Host: strings.Repeat("h", 300), ID: o.ID}, {Host: "h", ID: o.ID, ListedHosts: 1<<20 + 1}} {
 		if _, ok := DecodeOrders(EncodeOrders(&order.Message{Orders: []order.Order{bad}})); ok {
 			t.Errorf("%+v is accepted", bad)
 		}
--- a/internal/fleet/transport/orders.go
+++ b/internal/fleet/transport/orders.go
@@ -15,6 +15,8 @@
 	Digest  uint64           `cbor:"1,keyasint"`
 	IsReply bool             `cbor:"2,keyasint,omitempty"`
 	Orders  []exclusionOrder `cbor:"3,keyasint,omitempty"`
+	// ListedHosts is Order.ListedHosts of each order. It is not part of exclusionOrder, whose number of elements earlier versions check.
+	ListedHosts []uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 type exclusionOrder struct {
@@ -37,6 +39,7 @@
 			row.Past = append(row.Past, p.Count, uint64(p.By))
 		}
 		out.Orders = append(out.Orders, row)
+		out.ListedHosts = append(out.ListedHosts, uint32(o.ListedHosts))
 	}
 	data, _ := cbor.Marshal(&out) // cannot fail for numbers and strings
 	return data
@@ -49,11 +52,17 @@
 		return nil, false
 	}
 	m := &order.Message{Digest: s.Digest, IsReply: s.IsReply}
-	for _, row := range s.Orders {
+	if len(s.ListedHosts) > 0 && len(s.ListedHosts) != len(s.Orders) {
+		return nil, false
+	}
+	for i, row := range s.Orders {
 		o := order.Order{Host: row.Host, ID: order.ID{Count: row.Count, By: member.ProcessID(row.By)}, Out: row.Out, Force: row.Force, Door: row.Door}
 		for k := 1; k < len(row.Past); k += 2 {
 			o.Past = append(o.Past, order.ID{Count: row.Past[k-1], By: member.ProcessID(row.Past[k])})
 		}
+		if len(s.ListedHosts) > 0 {
+			o.ListedHosts = int(s.ListedHosts[i])
+		}
 		if !o.IsValid() || len(row.Past)%2 != 0 {
 			return nil, false
 		}
