Take attempts that were decided while their request ended off their host's count

Seen: a host counted as having one attempt more in flight until the balancer ended, and one that was gone was never dropped.

Cause: a request ends once its answer is chosen and no attempt runs, as when its client leaves. If the policy was busy, the request's arrival is processed only then, and the attempt that it decides is queued at a request that has ended.

Change: the event that removes the request reports attempts that were queued and never begun as never sent.

How often it happens under load was not measured.

--- a/internal/balancer/client_close_test.go
+++ b/internal/balancer/client_close_test.go
@@ -205,6 +205,31 @@
 	}
 }
 
+// Guards against an attempt that counts at its host for ever because the policy decided it while its request was ending: the client had
+// left while the policy was busy.
+func TestAttemptDecidedAtTheEnd(t *testing.T) {
+	x := newTestBalancer(t, policy.NonIdempotent, 0, map[string]string{"h": receipt})
+	x.callPolicy(func() {
+		conn, _ := x.dial()
+		io.WriteString(conn, "mg k v Oa Pc=read,d=9000\r\n")
+		x.waitFor("the request is taken", func() bool { return x.inFlight.Load() == 1 })
+		conn.Close()
+		x.waitFor("the request is given up", func() bool { return x.inFlight.Load() == 0 })
+	})
+	known := true
+	x.waitFor("all events are processed", func() bool {
+		x.callPolicy(func() {})
+		return x.Balancer.mu.pendingCount.Load() == 0
+	})
+	x.callPolicy(func() {
+		x.policy.ApplyList(policy.ListUpdate, []policy.HostEntry{{HostID: "h", Size: 1, Condition: policy.Gone}})
+		known = x.policy.IsKnownHost("h") // a host that is gone is kept while it has attempts
+	})
+	if known {
+		t.Error("the host still has an attempt in flight")
+	}
+}
+
 // A retry of a write that may have run must begin within the window in which hosts recognise repeats. If its connection is established
 // later the retry is not sent, and the request is answered as errored.
 func TestWindowOverBeforeTheConnect(t *testing.T) {
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -54,7 +54,7 @@
 // action is something that the policy wants done for a request.
 type action struct {
 	do          func(c *clientRequest, a action)
-	host        policy.HostID
+	host        policy.HostID // only of an attempt to begin
 	attempt     int
 	deadline    deadline.Deadline
 	latestStart deadline.Deadline // the attempt must start by then: connecting and waiting for a connection take time after the decision
@@ -244,7 +244,10 @@
 // releaseRequest frees what a request occupied, once it is answered and its attempts have ended.
 func (b *Balancer) releaseRequest(c *clientRequest) {
 	if c.id != "" {
-		b.post(func() { delete(b.requests, c.id) })
+		b.post(func() {
+			delete(b.requests, c.id)
+			b.returnUnbegunAttempts(c)
+		})
 	}
 	b.releaseID(c)
 	c.memory.release()
@@ -253,6 +256,20 @@
 	c.client.noteIfIdle()
 }
 
+// returnUnbegunAttempts reports the attempts that the policy decided while the request was ending, so that nobody has begun them. The
+// policy counts them at their hosts until then. The caller holds Balancer.mu.
+func (b *Balancer) returnUnbegunAttempts(c *clientRequest) {
+	actions, _ := c.takeActions()
+	attempt := len(c.attempts)
+	for _, a := range actions {
+		if a.host == "" {
+			continue
+		}
+		b.policy.AttemptEnded(policy.AttemptResult{RequestID: c.id, Attempt: attempt, Final: true, Outcome: policy.NeverSent, HostID: a.host})
+		attempt++
+	}
+}
+
 // toNanos converts an instant to the policy's clock.
 func (b *Balancer) toNanos(d deadline.Deadline) policy.Nanos {
 	return b.epochNanos + policy.Nanos(d.Time().Sub(b.epoch))
