Restore the exclusions handed over before the older process's messages are read

Seen: a host that was put back at the older process of an upgrade, with a yes, could stay out at the newer one.

Cause: the newer process started to read the older one's messages before it restored the exclusions handed over, so an include could be applied first and then be undone.

Change: it reads them once the exclusions are restored.

Measured: TestIncludeDuringHandover failed in ten of ten runs before and in none of twenty after. A first form of the test with two whole processes did not show the fault in nine runs, as a process runs on one core, and was dropped for the one in the package.

--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -115,7 +115,6 @@
 			b.callPolicy(func() { b.policy.ImportLearnt(learnt) })
 		}
 		b.splitLimits(state.Holds)
-		go b.receiveFromOlder(b.upgrade.older)
 	} else {
 		var err error
 		if err = handover.Load(b.exclusionFile(), &excluded); err != nil {
@@ -129,6 +128,9 @@
 	if len(excluded) > 0 {
 		b.saveExclusions()
 	}
+	if state != nil { // only now, as its messages change what has been restored
+		go b.receiveFromOlder(b.upgrade.older)
+	}
 }
 
 // offerHandover notifies the older process that this one takes clients, and lets a newer process take over from now on.
