Hand the fleet membership over without blocking the newer process's messages

Seen: an order for the fleet that was being carried out when the newer process of an upgrade became ready ended the link between the two processes after 0.5 s.

Cause: handing the membership over waits for orders in progress, and did so in the goroutine that receives the newer process's messages. The order waited there for that process's confirmation.

Change: the membership is handed over in a goroutine of its own, which has ended before the newer process's end is handled.

--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -218,12 +218,15 @@
 // receiveFromNewer handles the newer process's messages until it ends.
 func (b *Balancer) receiveFromNewer(peer *handover.Peer) {
 	go b.sendUsage(peer)
+	var handingOver sync.WaitGroup
 	peer.Receive(func(m handover.Message) {
 		switch m.Kind {
 		case handover.Ready:
-			b.handOverMembership()
-			b.upgrade.newerReady.Store(true)
-			b.log.Info().Msg("the newer process takes clients")
+			handingOver.Go(func() { // in a goroutine: an order that is being carried out may wait for a message that is received here
+				b.handOverMembership()
+				b.upgrade.newerReady.Store(true)
+				b.log.Info().Msg("the newer process takes clients")
+			})
 		case handover.UsageReport:
 			b.splitLimits(*m.Holds)
 		case handover.ExclusionRequest:
@@ -238,6 +241,7 @@
 			b.upgrade.deliverAnswer(m)
 		}
 	})
+	handingOver.Wait()
 	b.peerEnded(&b.upgrade.newer)
 	b.reclaimMembership()
 }
