--- a/internal/fleet/order/explore_test.go
+++ b/internal/fleet/order/explore_test.go
@@ -158,6 +158,87 @@
 	return nil
 }
 
+// listModel is one balancer, the number of hosts in its list, and the exclusions that it has accepted.
+type listModel struct {
+	balancer *Machine
+	listed   int
+	accepted []string // sorted
+	forget   bool     // the balancer does not record how many hosts were listed
+	failure  string
+}
+
+func (w *listModel) clone() *listModel {
+	c := *w
+	c.balancer = (&model{balancers: [3]*Machine{w.balancer, New(Config{}), New(Config{})}}).clone().balancers[0]
+	c.accepted = slices.Clone(w.accepted)
+	return &c
+}
+
+// submit gives an order and notes an accepted one.
+func (w *listModel) submit(host string, exclude, force bool) {
+	if _, err := w.balancer.Submit(host, exclude, force, w.listed); err != nil {
+		return
+	}
+	w.accepted = slices.DeleteFunc(w.accepted, func(h string) bool { return h == host })
+	if exclude {
+		w.accepted = append(w.accepted, host)
+		slices.Sort(w.accepted)
+	}
+	if w.forget {
+		for i := range w.balancer.orders {
+			w.balancer.orders[i].ListedHosts = 0
+		}
+	}
+}
+
+// steps returns all steps: each order on three hosts, each length of the list, and a restart with the stored orders.
+func (w *listModel) steps() (all []func(*listModel)) {
+	do := func(f func(*listModel)) {
+		all = append(all, func(c *listModel) {
+			f(c)
+			if got := c.balancer.Excluded(c.listed); !slices.Equal(got, c.accepted) {
+				c.failure = fmt.Sprintf("with %d hosts listed %v are excluded, accepted were %v", c.listed, got, c.accepted)
+			}
+		})
+	}
+	for _, host := range []string{"a", "b", "c"} {
+		do(func(c *listModel) { c.submit(host, false, false) })
+		do(func(c *listModel) { c.submit(host, true, false) })
+		do(func(c *listModel) { c.submit(host, true, true) })
+	}
+	for listed := range 6 {
+		do(func(c *listModel) { c.listed = listed })
+	}
+	do(func(c *listModel) {
+		config := c.balancer.config
+		config.Self++
+		config.StoredOrders = c.balancer.All()
+		c.balancer = New(config)
+	})
+	return all
+}
+
+func (w *listModel) key() string {
+	text := fmt.Sprint(w.listed, w.accepted, w.balancer.config.Self)
+	for _, o := range w.balancer.orders {
+		text += fmt.Sprint(o.Host, o.Out, o.Force, o.ListedHosts, o.By)
+	}
+	return text
+}
+
+// Guards against an accepted exclusion that a change of the list, a restart or another order ends: explores every sequence of orders,
+// lengths of the list and restarts at one balancer.
+func TestEveryListAndOrder(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		first := &listModel{balancer: New(Config{Self: 1, MaxExcludedFraction: 0.5}), listed: 4, forget: forget}
+		states, failure := explore.Sequences(first, *exploreDepth, (*listModel).clone, (*listModel).steps, (*listModel).key, func(w *listModel) string { return w.failure })
+		t.Logf("%d states to depth %d: %s", states, *exploreDepth, failure)
+		if (failure != "") != forget {
+			t.Errorf("the number of listed hosts is forgotten: %v, failure found: %q", forget, failure)
+		}
+	}
+}
+
 // Explores every sequence of steps (see model.steps) among three balancers, up to a given depth.
 func TestEveryOrder(t *testing.T) {
 	first := &model{}
