Replace the common socket by a dead one in one step in the rollback test

TestUpgradeAfterRollback failed once: "bind: address already in use". The test removed the common socket and made a dead one in its place, and the older process could publish its own between the two. The dead socket is renamed over the path now.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -287,13 +287,15 @@
 // replaceByDeadSocket replaces a file by a socket whose process has ended.
 func replaceByDeadSocket(t *testing.T, path string) {
 	t.Helper()
-	os.Remove(path)
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path + ".x", Net: "unix"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	l.SetUnlinkOnClose(false)
 	l.Close()
+	if err := os.Rename(path+".x", path); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // Guards against an older process that is no longer found once the newer one of an upgrade was killed after it took clients: the next
