Answer the older process's exclusions while the newer one still starts

Seen in the code: with thousands of hosts on a small share of a core a newer process needs more than 0.5 s to apply the list handed over. An order by hand in that time found it silent, the link between the two processes ended, and the newer one went on to serve with the exclusions of before.

Cause: a newer process read the older one's messages only once it had restored everything.

Change: it receives from the takeover on. Until its exclusions are restored a message changes the set that will be restored and is answered at once. Limits are split at the takeover, so an older process that ends during the start leaves the newer one with all of them; the follower of lists keeps the older process's connection itself, which could be gone when it was read.

--- a/internal/balancer/discovery_watch.go
+++ b/internal/balancer/discovery_watch.go
@@ -59,7 +59,7 @@
 	case handedOver == nil:
 		b.startWatch(!b.deployment.PolicyConfig.MustSubscribe)
 	case b.upgrade.follower != nil:
-		go b.followOlderProcess(b.upgrade.follower, b.upgrade.older)
+		go b.followOlderProcess(b.upgrade.follower)
 	default:
 		b.startWatch(true)
 	}
--- a/internal/balancer/list_handover.go
+++ b/internal/balancer/list_handover.go
@@ -71,14 +71,15 @@
 
 // listFollower receives the lists that the older process of an upgrade passes on.
 type listFollower struct {
+	older       *handover.Peer
 	addr        string // of the discovery service that the lists come from
 	received    chan handover.Message
 	ended       chan struct{} // closed when this process asks discovery itself
 	lastMessage atomic.Int64  // when the older process last sent anything, in nanoseconds since Balancer.epoch
 }
 
-func newListFollower(addr string) *listFollower {
-	return &listFollower{addr: addr, received: make(chan handover.Message, maxQueuedLists), ended: make(chan struct{})}
+func newListFollower(older *handover.Peer, addr string) *listFollower {
+	return &listFollower{older: older, addr: addr, received: make(chan handover.Message, maxQueuedLists), ended: make(chan struct{})}
 }
 
 // noteMessage notes that the older process has sent a message, at a time since Balancer.epoch.
@@ -100,7 +101,7 @@
 }
 
 // followOlderProcess applies the lists that the older process passes on, and asks discovery once that process has ended or is silent.
-func (b *Balancer) followOlderProcess(follower *listFollower, peer *handover.Peer) {
+func (b *Balancer) followOlderProcess(follower *listFollower) {
 	follower.noteMessage(time.Since(b.epoch))
 	defer b.continueWatch(follower.addr)
 	defer close(follower.ended)
@@ -118,7 +119,7 @@
 				b.log.Warn().Dur("silent_ms", silence).Msg("the older process is silent, asking discovery")
 				return
 			}
-		case <-peer.Closed(): // what it sent last and is not applied yet, discovery sends again
+		case <-follower.older.Closed(): // what it sent last and is not applied yet, discovery sends again
 			return
 		case <-b.ctx.Done():
 			return
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,14 +22,18 @@
 // hold for both, and both together stay within the resource limits of one process.
 type upgradeLink struct {
 	// mu serializes exclusions, which both processes apply in the order that the older one sets. It is taken before all other locks.
-	mu           sync.Mutex
-	startLock    *handover.StartLock   // held from the search for an older process until a newer one can connect
-	offer        *handover.Server      // lets a newer process connect
-	older        *handover.Peer        // nil if there is none
-	newer        *handover.Peer        // nil if there is none
-	follower     *listFollower         // receives the older process's lists; nil if it does not pass them on
-	messageCount uint64                // numbers the messages that need an answer
-	answers      chan handover.Message // to the exchange that waits under mu, and late ones for which no exchange waits any more
+	mu        sync.Mutex
+	startLock *handover.StartLock // held from the search for an older process until a newer one can connect
+	offer     *handover.Server    // lets a newer process connect
+	older     *handover.Peer      // nil if there is none
+	newer     *handover.Peer      // nil if there is none
+	// startingMu guards startingExclusions: the exclusions of a newer process that has not restored them yet, afterwards nil. It is held
+	// while they are restored and while a message of the older process changes an exclusion.
+	startingMu         sync.Mutex
+	startingExclusions map[string]bool
+	follower           *listFollower         // receives the older process's lists; nil if it does not pass them on
+	messageCount       uint64                // numbers the messages that need an answer
+	answers            chan handover.Message // to the exchange that waits under mu, and late ones for which no exchange waits any more
 
 	newerReady   atomic.Bool // the newer process takes clients
 	takesClients atomic.Bool // this process takes clients
@@ -49,6 +55,7 @@
 )
 
 var (
+	errStarting   = errors.New("this process is starting and has not read which hosts are out; repeat the call")
 	errNotServing = errors.New("it is ending")
 	errNotSaved   = errors.New("it is done, but could not be kept in a file yet: a restart would forget it")
 	errPeerSilent = errors.New("this process has done it; the other one of an upgrade does not answer")
@@ -70,10 +77,7 @@
 	switch {
 	case err == nil:
 		b.log.Info().Int("excluded", len(state.Excluded)).Msg("taking over from an older process")
-		b.upgrade.older = peer
-		if b.deployment.PolicyConfig.MustSubscribe && state.ListAddr == b.deployment.Discovery {
-			b.upgrade.follower = newListFollower(state.ListAddr)
-		}
+		b.joinOlder(peer, &state)
 		return listener, &state, nil
 	case errors.Is(err, handover.ErrUpgradeRunning):
 		return nil, nil, err
@@ -83,6 +87,21 @@
 	return nil, nil, nil
 }
 
+// joinOlder becomes one balancer with the process that has handed over.
+func (b *Balancer) joinOlder(peer *handover.Peer, state *handover.State) {
+	u := &b.upgrade
+	u.older = peer
+	u.startingExclusions = map[string]bool{}
+	for _, id := range state.Excluded {
+		u.startingExclusions[id] = true
+	}
+	if b.deployment.PolicyConfig.MustSubscribe && state.ListAddr == b.deployment.Discovery {
+		u.follower = newListFollower(peer, state.ListAddr)
+	}
+	b.splitLimits(state.Holds)
+	go b.receiveFromOlder(peer)
+}
+
 // handoverPath returns the path of the socket or file with a suffix that all processes serving the same address share.
 func (b *Balancer) handoverPath(suffix string) string {
 	return handover.Path(os.TempDir(), b.deployment.Listen, suffix)
@@ -105,31 +124,62 @@
 	if b.deployment.Admin == "" {
 		return
 	}
-	var excluded []string
 	if state != nil {
-		excluded = state.Excluded
 		var learnt policy.Learnt
 		if err := json.Unmarshal(state.Learnt, &learnt); err != nil {
 			b.log.Warn().Err(err).Msg("the learnt state handed over is not readable, ignored")
 		} else {
 			b.callPolicy(func() { b.policy.ImportLearnt(learnt) })
 		}
-		b.splitLimits(state.Holds)
-	} else {
-		var err error
-		if err = handover.Load(b.exclusionFile(), &excluded); err != nil {
-			excluded = nil
-			b.log.Warn().Err(err).Str("file", b.exclusionFile()).Msg("the hosts out by hand are not readable, none is out")
-		}
+		b.restoreHandedOverExclusions()
+		return
+	}
+	var excluded []string
+	if err := handover.Load(b.exclusionFile(), &excluded); err != nil {
+		excluded = nil
+		b.log.Warn().Err(err).Str("file", b.exclusionFile()).Msg("the hosts out by hand are not readable, none is out")
 	}
+	b.restoreExclusions(excluded)
+}
+
+// restoreHandedOverExclusions restores the exclusions that an older process handed over, as its messages have changed them since.
+func (b *Balancer) restoreHandedOverExclusions() {
+	u := &b.upgrade
+	u.startingMu.Lock()
+	defer u.startingMu.Unlock()
+	b.restoreExclusions(slices.Sorted(maps.Keys(u.startingExclusions)))
+	u.startingExclusions = nil
+}
+
+func (b *Balancer) restoreExclusions(excluded []string) {
 	for _, id := range excluded {
 		b.switchExclusion(policy.HostID(id), true)
 	}
 	if len(excluded) > 0 {
 		b.saveExclusions()
 	}
-	if state != nil { // only now, as its messages change what has been restored
-		go b.receiveFromOlder(b.upgrade.older)
+}
+
+// isRestoringExclusions reports whether the exclusions handed over are not restored yet.
+func (b *Balancer) isRestoringExclusions() bool {
+	b.upgrade.startingMu.Lock()
+	defer b.upgrade.startingMu.Unlock()
+	return b.upgrade.startingExclusions != nil
+}
+
+// applyNotice applies an exclusion that the older process has changed. Before the exclusions are restored it is noted with them: the
+// older process gets its answer at once, however long this one takes to start.
+func (b *Balancer) applyNotice(m handover.Message) {
+	u := &b.upgrade
+	u.startingMu.Lock()
+	defer u.startingMu.Unlock()
+	switch {
+	case u.startingExclusions == nil:
+		b.applyExclusion(policy.HostID(m.Member), m.Out)
+	case m.Out:
+		u.startingExclusions[m.Member] = true
+	default:
+		delete(u.startingExclusions, m.Member)
 	}
 }
 
@@ -257,7 +307,7 @@
 		case handover.UsageReport:
 			b.splitLimits(*m.Holds)
 		case handover.ExclusionNotice:
-			b.applyExclusion(policy.HostID(m.Member), m.Out)
+			b.applyNotice(m)
 			peer.Send(handover.Message{Kind: handover.ExclusionApplied, N: m.N})
 		case handover.ExclusionResponse:
 			b.upgrade.deliverAnswer(m)
@@ -337,6 +387,9 @@
 			return errorFromText(answer.Fault)
 		} // otherwise the connection to the older process is closed and this process acts alone
 	}
+	if b.isRestoringExclusions() {
+		return errStarting
+	}
 	known, withinLimit := false, true
 	if exclude {
 		b.callPolicy(func() { known, withinLimit = b.policy.Exclude(id) })
