--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -348,6 +348,7 @@
 			}
 			thirdAddr := freeAddr(t)
 			third := launch(t, config, "GW_ADMIN_ADDR="+thirdAddr, "TMPDIR="+dir)
+			third.waitForLog(t, "waiting for the end")
 			time.Sleep(300 * time.Millisecond)
 			if strings.Contains(third.log.String(), "alone") || strings.Contains(third.log.String(), "taking over") {
 				t.Error("the third process did not wait")
