Keep the two processes of an upgrade joined while one of them stands still

Seen: one process of an upgrade stood still for more than 0.5 s during an order by hand. The operator got 503 once and yes from then on, and the process that had stood still never obeyed.

Cause: a process without an answer in time closed the connection and went on as if the other one had ended.

Change: the connection stays open and the message on its way; the other process obeys it, and what follows, when it goes on. Until it is heard from, orders are carried out where they are given and answered with 503 without a wait.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -443,3 +443,46 @@
 		t.Error("the newer process follows the older one's discovery service")
 	}
 }
+
+// Guards against two processes of an upgrade that part because one of them stands still during an order: once it goes on, both obey it
+// and later orders.
+func TestOrderWhileOneStandsStill(t *testing.T) {
+	for name, stopsOlder := range map[string]bool{"the older one": true, "the newer one": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, config := oneHostConfig(t)
+			stopped, stoppedAddr := launchReady(t, config, dir)
+			asked, askedAddr := launchReady(t, config, dir)
+			if !stopsOlder {
+				stopped, stoppedAddr, asked, askedAddr = asked, askedAddr, stopped, stoppedAddr
+			}
+			isOut := func(adminAddr string) bool { return metric(t, adminAddr, "app_cluster_unhealthy") == 1 }
+			stopped.Process.Signal(syscall.SIGSTOP)
+			for range 3 {
+				began := time.Now()
+				if status, text := callAdmin(t, askedAddr, "POST", "/api/exclude", `{"member":"h"}`); status != 503 || !strings.Contains(text, "does not answer") {
+					t.Errorf("exclude while the other process stands still: %d %s", status, text)
+				}
+				if took := time.Since(began); took > maxAdminAnswerTime {
+					t.Errorf("the answer took %v", took)
+				}
+			}
+			if !isOut(askedAddr) {
+				t.Error("the process that was asked does not obey")
+			}
+			stopped.Process.Signal(syscall.SIGCONT)
+			waitUntil(t, "both obey the order", func() bool { return isOut(askedAddr) && isOut(stoppedAddr) })
+			for _, action := range []string{"include", "exclude"} {
+				if status, text := callAdmin(t, askedAddr, "POST", "/api/"+action, `{"member":"h"}`); status != 200 {
+					t.Errorf("%s: %s", action, text)
+				}
+				if want := action == "exclude"; isOut(askedAddr) != want || isOut(stoppedAddr) != want {
+					t.Errorf("after %s the host is out: %v and %v", action, isOut(askedAddr), isOut(stoppedAddr))
+				}
+			}
+			if strings.Contains(asked.log.String(), "has ended") {
+				t.Error("the processes have parted")
+			}
+		})
+	}
+}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -31,6 +31,7 @@
 	messageCount       uint64                // numbers the messages that need an answer
 	answers            chan handover.Message // to the exchange that waits under mu, and late ones for which no exchange waits any more
 
+	peerSilent   atomic.Bool // the peer process has not answered in time, and has sent nothing since
 	newerReady   atomic.Bool // the newer process takes clients
 	takesClients atomic.Bool // this process takes clients
 }
@@ -214,6 +215,7 @@
 	go b.sendUsage(peer)
 	var handingOver sync.WaitGroup
 	peer.Receive(func(m handover.Message) {
+		b.upgrade.peerSilent.Store(false)
 		switch m.Kind {
 		case handover.Ready:
 			handingOver.Go(func() { // in a goroutine: an order that is being carried out may wait for a message that is received here
@@ -244,6 +246,7 @@
 func (b *Balancer) receiveFromOlder(peer *handover.Peer) {
 	go b.sendUsage(peer)
 	peer.Receive(func(m handover.Message) {
+		b.upgrade.peerSilent.Store(false)
 		b.upgrade.follower.noteMessage(time.Since(b.epoch))
 		switch m.Kind {
 		case handover.ListUpdate:
@@ -267,6 +270,7 @@
 	defer u.mu.Unlock()
 	*other = nil
 	u.newerReady.Store(false)
+	u.peerSilent.Store(false)
 	if u.older != nil || u.newer != nil {
 		return
 	}
--- a/internal/balancer/upgrade_exclusions.go
+++ b/internal/balancer/upgrade_exclusions.go
@@ -37,7 +37,7 @@
 		answer, answered = u.exchange(p, m)
 		if answer.Kind == handover.ExclusionResponse {
 			return errorFromText(answer.Fault)
-		} // otherwise the connection to the older process is closed and this process acts alone
+		} // otherwise the older process has ended or stands still, and this one decides
 	}
 	if err := b.checkExclusion(id, exclude, fleet); err != nil {
 		return err
@@ -119,13 +119,18 @@
 	}
 }
 
-// exchange sends an ExclusionRequest or ExclusionNotice and waits for its answer. It returns false if none comes in time. The caller
+// exchange sends an ExclusionRequest or ExclusionNotice and waits for its answer. It returns false if none comes in time. The message
+// stays on its way then, so a process that stood still obeys it when it goes on, and in the same order as other messages. The caller
 // holds u.mu.
 func (u *upgradeLink) exchange(peer *handover.Peer, m handover.Message) (answer handover.Message, ok bool) {
 	u.messageCount++
 	m.N = u.messageCount
 	peer.Send(m)
-	timeout := time.After(peerTimeout)
+	wait := peerTimeout
+	if u.peerSilent.Load() { // it has not sent anything since an answer was due
+		wait = 0
+	}
+	timeout := time.After(wait)
 	for {
 		select {
 		case answer = <-u.answers:
@@ -135,7 +140,7 @@
 		case <-peer.Closed():
 			return answer, true // the peer process has ended, so this process alone has to apply it
 		case <-timeout:
-			peer.Close()
+			u.peerSilent.Store(true)
 			return answer, false
 		}
 	}
