--- a/cmd/streamrail/upgrade_soak_test.go
+++ b/cmd/streamrail/upgrade_soak_test.go
@@ -15,9 +15,9 @@
 	"time"
 )
 
-// TestUpgradeSoak draws from a seed a sequence of upgrades, of which some fail or overlap, kills of either process, hosts taken out and
-// put back at any process's admin API, and hosts that leave the list and come back. Clients read all the time. A host must get nothing
-// while it is out or leaving.
+// TestUpgradeSoak draws from a seed a sequence of upgrades, of which some fail or overlap, kills and standstills of either process, hosts
+// taken out and put back at any process's admin API, and hosts that leave the list and come back. Clients read all the time. A host must
+// get nothing while it is out or leaving.
 func TestUpgradeSoak(t *testing.T) {
 	runSoak(t, func(t *testing.T, seed uint64) {
 		s := newUpgradeSoak(t, rand.New(rand.NewPCG(seed, 1)))
@@ -30,6 +30,7 @@
 	soakSlack      = 200 * time.Millisecond               // for the test's own clock readings and what is under way to a host
 	soakListDelay  = 2 * time.Second                      // from which a change of the list counts as told, also around an upgrade
 	soakKillAfter  = 3*time.Second + 700*time.Millisecond // from SIGTERM to SIGKILL
+	soakStandstill = time.Second                          // at most
 	soakHosts      = 5
 	soakMaxOut     = 2 // hosts out or leaving at a time
 )
@@ -225,7 +226,7 @@
 	running := s.running()
 	newest := running[len(running)-1]
 	wait := func(longest time.Duration) { time.Sleep(time.Duration(s.rng.Int64N(int64(longest)))) }
-	switch s.rng.IntN(6) {
+	switch s.rng.IntN(7) {
 	case 0, 1: // an upgrade, after which the next one may begin at once
 		s.Log("upgrade")
 		p := s.launch()
@@ -269,6 +270,12 @@
 			s.kill(p)
 		}
 		s.startServing()
+	case 6: // one process stands still for a while
+		s.Log("standstill")
+		p := running[s.rng.IntN(len(running))]
+		p.Process.Signal(syscall.SIGSTOP)
+		wait(soakStandstill)
+		p.Process.Signal(syscall.SIGCONT)
 	}
 }
 
@@ -304,7 +311,8 @@
 			h.staysTill = time.Now().Add(soakListDelay + stay)
 			h.forbid(soakListDelay, "leaving")
 		default:
-			if h.out = s.order(random, "exclude", h.id); h.out {
+			h.out = true // perhaps also without a yes, so it is put back later
+			if s.order(random, "exclude", h.id) {
 				h.staysTill = time.Now().Add(stay)
 				h.forbid(0, "out")
 			}
@@ -344,7 +352,7 @@
 func (h *soakHost) allow() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if n := len(h.forbidden); n > 0 {
+	if n := len(h.forbidden); n > 0 && h.forbidden[n-1].to.IsZero() {
 		h.forbidden[n-1].to = time.Now()
 	}
 }
