Start beside a process that has the fleet's address, and join the fleet when it ends

Seen: with [fleet], a process that could not take over from an older one that hung or was ending did not start at all: "fleet.address: address already in use". Where only the older one's end was slow, nobody served afterwards.

Cause: at a start the fleet's address had to be free, though the clients' address may be shared with such a process.

Change: if another process was met at the start, or an upgrade's peer still has the address, the balancer serves outside the fleet and tries to join it ten times a second. Without such a process an address in use still ends the start.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -486,3 +486,36 @@
 		})
 	}
 }
+
+// Guards against a process of a fleet that does not start while an older one from which it cannot take over still has the fleet's
+// address. It joins the fleet when that process has ended.
+func TestStartBesideUnusableProcess(t *testing.T) {
+	for name, signal := range map[string]syscall.Signal{"that hangs": syscall.SIGSTOP, "that is ending": syscall.SIGTERM} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, config := oneHostConfig(t)
+			file := filepath.Join(dir, "operator.toml")
+			settings := fmt.Sprintf("[fleet]\nname = \"f\"\naddress = %q\npeers = [%q]\n", freeUDP(t), freeUDP(t))
+			if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			older, _ := launchReady(t, config, dir, "STREAMRAIL_FILE="+file)
+			client := older.dial(t) // keeps the older process from ending at once
+			expect(t, client.ask(getRequest("k", "a", 900)), "VA 10 Oa|value of k")
+			older.Process.Signal(signal)
+			if signal == syscall.SIGTERM {
+				older.waitForLog(t, `"phase":"leaving"`)
+			}
+			_, newerAddr := launchReady(t, config, dir, "STREAMRAIL_FILE="+file)
+			if status, _ := callAdmin(t, newerAddr, "GET", "/api/members", ""); status == 200 {
+				t.Error("the newer process is a member before the older one has ended")
+			}
+			older.Process.Kill()
+			older.waitForExit(t)
+			waitUntil(t, "the newer process is a member", func() bool {
+				status, _ := callAdmin(t, newerAddr, "GET", "/api/members", "")
+				return status == 200
+			})
+		})
+	}
+}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"streamrail/internal/admin"
@@ -92,11 +94,53 @@
 // resumeMembership continues the membership from the state of the peer process of an upgrade. If that fails, the balancer serves
 // without a fleet.
 func (b *Balancer) resumeMembership(saved *member.HandoverState) {
-	if err := b.joinFleet(saved); err != nil {
+	switch err := b.joinFleet(saved); {
+	case errors.Is(err, syscall.EADDRINUSE):
+		go b.joinFleetLater()
+	case err != nil:
 		b.log.Warn().Err(err).Msg("could not join the fleet")
 	}
 }
 
+// startMembership joins the fleet at the start of a process that has not taken over from another one. If another process is there all the
+// same, which hangs or is ending, it may still have the fleet's address.
+func (b *Balancer) startMembership() error {
+	err := b.joinFleet(nil)
+	if b.upgrade.besideOther && errors.Is(err, syscall.EADDRINUSE) {
+		go b.joinFleetLater()
+		return nil
+	}
+	return err
+}
+
+// joinRetryInterval is how often a process tries to join the fleet while another process has its address.
+const joinRetryInterval = 100 * time.Millisecond
+
+// joinFleetLater joins the fleet once the other process that has its address has ended.
+func (b *Balancer) joinFleetLater() {
+	b.log.Warn().Msg("another process has the address in the fleet, serving outside the fleet until that has ended")
+	ticker := time.NewTicker(joinRetryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-b.ctx.Done():
+			return
+		}
+		if b.currentPhase() > Serving || b.upgrade.newerReady.Load() {
+			return
+		}
+		switch err := b.joinFleet(nil); {
+		case err == nil:
+			b.log.Info().Msg("joined the fleet")
+			return
+		case !errors.Is(err, syscall.EADDRINUSE):
+			b.log.Warn().Err(err).Msg("could not join the fleet")
+			return
+		}
+	}
+}
+
 // reclaimMembership takes the membership back if the newer process was killed after it had taken it over.
 func (b *Balancer) reclaimMembership() {
 	f := &b.fleet
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -80,7 +80,7 @@
 	b.restoreHostList(older)
 	b.restoreState(older)
 	if older == nil {
-		if err := b.joinFleet(nil); err != nil { // after restoreState, as stored orders add to the stored exclusions
+		if err := b.startMembership(); err != nil { // after restoreState, as stored orders add to the stored exclusions
 			return err
 		}
 	}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -23,6 +23,8 @@
 	offer     *handover.Server    // lets a newer process connect
 	older     *handover.Peer      // nil if there is none
 	newer     *handover.Peer      // nil if there is none
+	// besideOther means that another process was there at the start and has not handed over.
+	besideOther bool
 	// startingMu guards startingExclusions: the exclusions of a newer process that has not restored them yet, afterwards nil. It is held
 	// while they are restored and while a message of the older process changes an exclusion.
 	startingMu         sync.Mutex
@@ -68,6 +70,7 @@
 	case errors.Is(err, handover.ErrUpgradeRunning):
 		return nil, nil, err
 	case !errors.Is(err, handover.ErrNoOlderProcess):
+		b.upgrade.besideOther = true
 		b.log.Warn().Err(err).Msg("could not take over from an older process, starting as if alone")
 	}
 	return nil, nil, nil
