Do not count the wait for another start as waiting of clients' connections

Cause: connections count from the start of a process at the earliest. Since a process may wait up to 4 s for an upgrade under way, one that was in the queue at its first accept could count as having waited as long, and its request as late.

Change: they count from the last search for an older process on, until which others served the queue.

Not seen with clients.

--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -54,6 +54,7 @@
 	deadline := time.Now().Add(upgradeWait)
 	var logOnce sync.Once
 	keepTrying := func() bool {
+		b.listeningSince = time.Now() // what arrives before is for the processes that serve
 		logOnce.Do(func() { b.log.Info().Msg("waiting for the end of another start or upgrade") })
 		return b.currentPhase() == Starting && time.Now().Before(deadline)
 	}
--- a/internal/balancer/upgrade_test.go
+++ b/internal/balancer/upgrade_test.go
@@ -58,10 +58,20 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
+	lock, err := handover.LockStart(newer.handoverPath(".lock"), func() bool { return false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	const wait = 100 * time.Millisecond
+	began := time.Now()
+	time.AfterFunc(wait, lock.Release) // another process starts at the same time
 	listener, state, err := newer.takeOverListener()
 	if err != nil || listener == nil {
 		t.Fatal(listener, err)
 	}
+	if counted := newer.listeningSince.Sub(began); counted < wait/2 {
+		t.Errorf("clients' connections count from %v after the start on, though it waited for %v", counted, wait)
+	}
 	t.Cleanup(func() {
 		newer.upgrade.startLock.Release()
 		listener.Close()
