--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -405,10 +405,12 @@
 	}
 }
 
+// earliestKill is the time from SIGTERM to the earliest SIGKILL: the longest client timeout and 0.7 s.
+const earliestKill = 3*time.Second + 700*time.Millisecond
+
 // endWithSignals ends the process by a series of SIGHUP, SIGTERM and one more SIGHUP, and kills it at the earliest moment after SIGTERM at
 // which operators may do so. It calls beforeStop right before SIGTERM.
 func (p *balancerProcess) endWithSignals(t *testing.T, random *rand.Rand, beforeStop func()) {
-	const killAfter = 3*time.Second + 700*time.Millisecond
 	for range random.IntN(6) {
 		p.Process.Signal(syscall.SIGHUP)
 		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
@@ -422,7 +424,7 @@
 		if code := p.ProcessState.ExitCode(); code != 0 {
 			t.Errorf("exit code %d", code)
 		}
-	case <-time.After(killAfter):
+	case <-time.After(earliestKill):
 		p.Process.Kill()
 	}
 }
--- a/cmd/streamrail/long_list_harness_test.go
+++ b/cmd/streamrail/long_list_harness_test.go
@@ -21,15 +21,14 @@
 const (
 	longListHosts             = 3200
 	longListClients           = 20
-	longListRequestInterval   = 100 * time.Millisecond  // between two requests of a client
-	longListRequestTimeout    = 400 * time.Millisecond  // of a request
-	lateTolerance             = 50 * time.Millisecond   // beyond the timeout: a later answer counts as late
-	lostTolerance             = 500 * time.Millisecond  // beyond the timeout: a request without an answer counts as lost
-	longListTermPeriod        = 3700 * time.Millisecond // from SIGTERM to SIGKILL: the longest client timeout and 0.7 s
-	longListLoadBalancerDelay = 400 * time.Millisecond  // from SIGTERM until the load balancer in front opens no new connections
-	longListKillDelay         = 200 * time.Millisecond  // within which a process has ended after SIGKILL: the next one starts later
-	schedulingPeriod          = 20 * time.Millisecond   // of which a process runs for its share
-	raceCostFactor            = 8                       // the race detector multiplies the processor time by about this
+	longListRequestInterval   = 100 * time.Millisecond // between two requests of a client
+	longListRequestTimeout    = 400 * time.Millisecond // of a request
+	lateTolerance             = 50 * time.Millisecond  // beyond the timeout: a later answer counts as late
+	lostTolerance             = 500 * time.Millisecond // beyond the timeout: a request without an answer counts as lost
+	longListLoadBalancerDelay = 400 * time.Millisecond // from SIGTERM until the load balancer in front opens no new connections
+	longListKillDelay         = 200 * time.Millisecond // within which a process has ended after SIGKILL: the next one starts later
+	schedulingPeriod          = 20 * time.Millisecond  // of which a process runs for its share
+	raceCostFactor            = 8                      // the race detector multiplies the processor time by about this
 )
 
 // throttledProcess is a process that gets only a share of a core.
@@ -216,7 +215,7 @@
 	old.Process.Signal(syscall.SIGTERM)
 	time.Sleep(longListLoadBalancerDelay)
 	r.noNewConnections.Store(true)
-	time.Sleep(longListTermPeriod - longListLoadBalancerDelay)
+	time.Sleep(earliestKill - longListLoadBalancerDelay)
 	old.Process.Kill()
 	r.startThrottled()
 	r.noNewConnections.Store(false)
@@ -228,7 +227,7 @@
 	r.config["known"] = r.discovery.cachedList()
 	r.startReady()
 	old.Process.Signal(syscall.SIGTERM)
-	time.Sleep(longListTermPeriod)
+	time.Sleep(earliestKill)
 	old.Process.Kill()
 }
 
--- a/cmd/streamrail/upgrade_soak_test.go
+++ b/cmd/streamrail/upgrade_soak_test.go
@@ -26,11 +26,10 @@
 }
 
 const (
-	soakDrainGrace = time.Second                          // of the test settings
-	soakSlack      = 200 * time.Millisecond               // for the test's own clock readings and what is under way to a host
-	soakListDelay  = 2 * time.Second                      // from which a change of the list counts as told, also around an upgrade
-	soakKillAfter  = 3*time.Second + 700*time.Millisecond // from SIGTERM to SIGKILL
-	soakStandstill = time.Second                          // at most
+	soakDrainGrace = time.Second            // of the test settings
+	soakSlack      = 200 * time.Millisecond // for the test's own clock readings and what is under way to a host
+	soakListDelay  = 2 * time.Second        // from which a change of the list counts as told, also around an upgrade
+	soakStandstill = time.Second            // at most
 	soakHosts      = 5
 	soakMaxOut     = 2 // hosts out or leaving at a time
 )
@@ -206,7 +205,7 @@
 		select {
 		case err := <-p.exited:
 			p.exited <- err
-		case <-time.After(soakKillAfter):
+		case <-time.After(earliestKill):
 			p.Process.Kill()
 			p.waitForExit(s.T)
 		}
