--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -147,22 +148,29 @@
 	return breaches
 }
 
-// sendReads sends reads on a connection of its own until stop is closed.
+// sendReads sends reads one by one, on a new connection where the last one has ended, until stop is closed.
 func (w *world) sendReads(addr string, stop chan struct{}) {
-	c := w.dial(addr)
+	var c *client
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
-			c.conn.Close()
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
-		if c.send(fmt.Sprintf("mg key%d v Oread%011d Pc=read,t=acme,d=3000\r\n", i%97, i)) != nil {
-			c = w.dial(addr)
-			continue
+		if c == nil {
+			conn, err := net.DialTimeout("tcp", addr, 2*time.Second)
+			if err != nil {
+				continue
+			}
+			c = newClient(w, conn)
+		}
+		err := c.send(fmt.Sprintf("mg key%d v Oread%011d Pc=read,t=acme,d=3000\r\n", i%97, i))
+		if err == nil {
+			_, _, err = c.answer(4 * time.Second)
 		}
-		if _, _, err := c.answer(4 * time.Second); err != nil {
-			c = w.dial(addr)
+		if err != nil {
+			c.conn.Close()
+			c = nil
 		}
 	}
 }
--- a/review/rig2/harness.go
+++ b/review/rig2/harness.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -72,12 +73,15 @@
 	}
 }
 
-// freeAddr returns a loopback address that nothing listens at.
+// freeAddr returns a loopback address that nothing listens at, outside the range from which the system takes ports by itself.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err, "free address")
-	defer l.Close()
-	return l.Addr().String()
+	for range 100 {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))); err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	panic(cannotRun{"no free address"})
 }
 
 // balancerConfig is what a balancer's configuration file holds.
--- a/review/rig2/standins.go
+++ b/review/rig2/standins.go
@@ -370,9 +370,11 @@
 func (w *world) dial(addr string) *client {
 	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
 	must(err, "client")
-	return &client{w, c, bufio.NewReader(c)}
+	return newClient(w, c)
 }
 
+func newClient(w *world, c net.Conn) *client { return &client{w, c, bufio.NewReader(c)} }
+
 func (c *client) send(text string) error {
 	_, err := io.WriteString(c.conn, text)
 	return err
