--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,6 +18,7 @@
 	cases["slowlist"] = slowList
 	cases["slowread"] = slowRead
 	cases["refusedcall"] = refusedCall
+	cases["crowd"] = crowd
 }
 
 // awaitReady waits until the process says at its admin address that it takes clients.
@@ -234,7 +236,7 @@
 
 // slowList: a new configuration moves discovery to an address that takes 3.5 s for the whole list.
 func slowList(w *world) (breaches []string) {
-	const grace, slack, told = time.Second, 50 * time.Millisecond, 6 * time.Second
+	const grace, slack, told = askedGrace, 50 * time.Millisecond, 6 * time.Second
 	first, x, config := w.newAskedDeployment("n1")
 	entries := config.Known.(targets).Instances
 	second := w.newDiscovery("second discovery", 41, entries...)
@@ -326,7 +328,10 @@
 	return breaches
 }
 
-// newAskedDeployment returns a deployment whose lists are asked for: its discovery, the cache host that will leave and the balancer's
+// askedGrace is the grace on drains where lists are asked for.
+const askedGrace = 500 * time.Millisecond
+
+// newAskedDeployment returns a deployment whose lists are asked for, with the rules of glina-kilns: its discovery, the cache host that will leave and the balancer's
 // configuration.
 func (w *world) newAskedDeployment(name string) (d *discovery, x *server, config *balancerConfig) {
 	a, b, x := w.newCache("cache-a-"+name), w.newCache("cache-b-"+name), w.newCache("cache-x-"+name)
@@ -335,13 +340,15 @@
 	d = w.newDiscovery("discovery-"+name, 41, entries...)
 	config = newConfig(name, d.addr(), 3*time.Second)
 	config.Settings["discovery"] = "subscribe"
+	config.Settings["rules"] = map[string]any{"coldFrom": 0.23, "rampTimeNs": 14 * int64(time.Second), "fallMultiple": 2, "fallNs": int64(time.Second),
+		"drainGraceNs": int64(askedGrace), "askEveryNs": 10 * int64(time.Second)}
 	config.Known = targets{Generation: 41, Reset: true, Instances: entries}
 	return d, x, config
 }
 
 // playRefusedCall returns the breach, or "" if there is none.
 func (w *world) playRefusedCall(d *discovery, x *server, config *balancerConfig) string {
-	const grace, slack, told = time.Second, 50 * time.Millisecond, 6 * time.Second
+	const grace, slack, told = askedGrace, 50 * time.Millisecond, 6 * time.Second
 	stop := make(chan struct{})
 	defer close(stop)
 	go w.sendReads(config.Listen, stop)
@@ -362,3 +369,108 @@
 	return fmt.Sprintf("%s: %d attempts reached %s later than %v after discovery had the change and the watch had fallen silent, the last one %v after that",
 		config.Name, n, x.name, told+grace+slack, last.Round(time.Millisecond))
 }
+
+// crowd: clients connect, never finish a request and connect again when they are turned away; each request of the usual clients comes on a
+// new connection.
+func crowd(w *world) (breaches []string) {
+	const (
+		crowdClients = 1500
+		usualClients = 32
+		waits        = 600 * time.Millisecond
+		late         = 500*time.Millisecond + 50*time.Millisecond
+		played       = 30 * time.Second
+	)
+	caches := []*server{w.newCache("cache-1"), w.newCache("cache-2"), w.newCache("cache-3")}
+	for _, s := range caches {
+		good := s.answer
+		s.answer = func(x *shot, c connection) string {
+			time.Sleep(120 * time.Millisecond)
+			return good(x, c)
+		}
+	}
+	origin := w.newOrigin("origin-1", 20*time.Millisecond)
+	d := w.newDiscovery("discovery", 41, caches[0].entry("small"), caches[1].entry("small"), caches[2].entry("small"), origin.entry("origin"))
+	config := newConfig("n1", d.addr(), 3*time.Second)
+	config.Limits = map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 128}
+	w.start(config, "tmp")
+	w.awaitServing(config.Listen)
+	end := time.Now().Add(played)
+	if w.trouble {
+		w.printf("%d clients connect, write half a line and wait", crowdClients)
+		for i := range crowdClients {
+			go w.crowdClient(config.Listen, i, end, &w.crowded)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	results := make(chan map[string]int, usualClients)
+	for k := range usualClients {
+		go func() { results <- w.usualClient(config.Listen, k, waits, late, end) }()
+	}
+	total := map[string]int{}
+	for range usualClients {
+		for what, n := range <-results {
+			total[what] += n
+		}
+	}
+	w.printf("usual clients: %v; %d connections of the crowd", total, w.crowded.Load())
+	if n := total["late"]; n > 0 {
+		breaches = append(breaches, fmt.Sprintf("%d requests were answered, or had no answer, later than %v after their time; all: %v", n, late, total))
+	}
+	return breaches
+}
+
+// crowdClient connects, writes half a line and waits until it is turned away, and connects again, until the end of the play. It counts its
+// connections.
+func (w *world) crowdClient(addr string, number int, end time.Time, connections *atomic.Int64) {
+	for time.Now().Before(end) {
+		c, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		connections.Add(1)
+		c.SetReadDeadline(end)
+		if number%3 == 0 {
+			io.WriteString(c, "mg 7f3a9c21e0b4d655 v O9b1f")
+		}
+		io.Copy(io.Discard, c)
+		c.Close()
+	}
+}
+
+// usualClient sends reads, each on a new connection, and counts how they ended. A connection that is shut with no answer before the time of
+// its request is over counts as turned away.
+func (w *world) usualClient(addr string, number int, waits, late time.Duration, end time.Time) map[string]int {
+	count := map[string]int{}
+	for i := 0; time.Now().Before(end); i++ {
+		time.Sleep(300 * time.Millisecond)
+		conn, err := net.DialTimeout("tcp", addr, 2*time.Second)
+		if err != nil {
+			count["not connected"]++
+			continue
+		}
+		c := newClient(w, conn)
+		id := fmt.Sprintf("u%04d%011d", number, i)
+		if c.send(fmt.Sprintf("mg key%d v O%s Pc=read,t=acme,d=%d\r\n", i%97, id, waits.Milliseconds())) != nil {
+			count["turned away"]++
+			conn.Close()
+			continue
+		}
+		sentAt := time.Now()
+		line, _, err := c.answer(waits + late + 5*time.Second)
+		took := time.Since(sentAt)
+		conn.Close()
+		what := "answered"
+		switch {
+		case took > waits+late:
+			what = "late"
+			w.printf("request %s, waits %v: %q %v after %v", id, waits, line, err, took.Round(time.Millisecond))
+		case err != nil:
+			what = "turned away"
+		case strings.HasPrefix(line, "SERVER_ERROR"):
+			what = "refused or failed"
+		}
+		count[what]++
+	}
+	return count
+}
--- a/review/rig2/harness.go
+++ b/review/rig2/harness.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -37,6 +38,8 @@
 	root    string
 	run     string
 
+	crowded atomic.Int64 // connections of the crowd
+
 	processesMu sync.Mutex
 	processes   []*process
 }
