Handle commands behind an owed answer while a process drains

Seen: a read is out on a connection when draining begins; the client sends a second read 0.3 s later. The first is answered, then the connection ends, and the second has no answer: every client, in a planned restart and in an upgrade.

Cause: draining interrupts the readers of all connections. One that found nothing at that instant recorded that no further command is handled, although an answer was still owed; what came until that answer was read ahead and dropped at the close.

Change: such a reader only returns. serveClient waits for whichever comes first, input or the answers owed, and closes the connection once all is answered and the system has nothing more. Commands in that time begin at once, beside those in flight.

--- a/internal/balancer/client_close.go
+++ b/internal/balancer/client_close.go
@@ -29,10 +29,11 @@
 // readAheadBuffer holds what was read from a connection while its reader was waiting for something else.
 type readAheadBuffer struct {
 	chunks []chunk
-	size   int   // bytes in all chunks
-	cost   int   // bytes that the chunks take in memory
-	full   bool  // there was no memory for the last chunk
-	err    error // error or end of the stream behind the chunks
+	size   int           // bytes in all chunks
+	cost   int           // bytes that the chunks take in memory
+	full   bool          // there was no memory for the last chunk
+	filled chan struct{} // receives a value when input was read ahead
+	err    error         // error or end of the stream behind the chunks
 	memory memoryReservation
 	mu     sync.Mutex // guards the connection's read deadline while another goroutine reads ahead
 }
@@ -116,6 +117,33 @@
 	}
 }
 
+// awaitInputOrAnswers waits until the commands read so far are answered or there is further input, and reports whether they are answered.
+func (c *clientConn) awaitInputOrAnswers() (answered bool) {
+	select {
+	case <-c.lastAnswered:
+		return true
+	case <-c.readAheadBuf.filled: // from an earlier wait
+	default:
+	}
+	if c.hasBufferedInput() {
+		return false
+	}
+	c.watchForClose(func() {
+		select {
+		case <-c.lastAnswered:
+			answered = true
+		case <-c.readAheadBuf.filled:
+		case <-c.gone:
+		}
+	})
+	return answered
+}
+
+// hasBufferedInput reports whether input has been read that no command has used yet.
+func (c *clientConn) hasBufferedInput() bool {
+	return c.reader.Buffered() > 0 || c.readAheadBuf.size > 0
+}
+
 var pastDeadline = time.Unix(1, 0)
 
 // readAheadUntil reads into the buffer until done is closed, the stream ends or the buffer is full.
@@ -130,7 +158,11 @@
 		}
 		c.conn.SetReadDeadline(time.Time{}) // an interrupt was meant for the reader, which checks its state itself when it is back
 		c.readAheadBuf.mu.Unlock()
-		if !c.readAheadBuf.fill(c.receiver.read) {
+		mayReadOn := c.readAheadBuf.fill(c.receiver.read)
+		if c.readAheadBuf.size > 0 {
+			c.readAheadBuf.signalFilled()
+		}
+		if !mayReadOn {
 			return
 		}
 		if c.readAheadBuf.err != nil {
@@ -139,6 +171,14 @@
 	}
 }
 
+// signalFilled tells awaitInputOrAnswers that there is input.
+func (a *readAheadBuffer) signalFilled() {
+	select {
+	case a.filled <- struct{}{}:
+	default:
+	}
+}
+
 // fill does one read into the buffer; false if there is no memory for more until the buffer is empty again.
 func (a *readAheadBuffer) fill(read func([]byte) (int, time.Time, error)) bool {
 	var buf [readAheadChunkBytes]byte
@@ -159,7 +199,7 @@
 // pollInput reports whether there is unread input or the end of the stream. It asks the system without waiting and whatever the read
 // deadline is: on a busy machine a wait of any length may expire before the first read.
 func (c *clientConn) pollInput() bool {
-	if c.reader.Buffered() > 0 || c.readAheadBuf.size > 0 || c.readAheadBuf.err != nil {
+	if c.hasBufferedInput() || c.readAheadBuf.err != nil {
 		return true
 	}
 	if c.receiver.raw == nil {
--- a/internal/balancer/client_conn.go
+++ b/internal/balancer/client_conn.go
@@ -48,6 +48,7 @@
 // newClientConn wraps a connection on which nothing had arrived at emptyAt.
 func newClientConn(conn net.Conn, stalls *stall.Detector, emptyAt time.Time) *clientConn {
 	c := &clientConn{conn: conn, receiver: newReceiver(conn, stalls, emptyAt), openedAt: time.Now(), gone: make(chan struct{}), lastAnswered: make(chan struct{}), inFlight: make(chan struct{}, maxInFlightPerConn)}
+	c.readAheadBuf.filled = make(chan struct{}, 1)
 	close(c.lastAnswered)
 	c.noteIdle(c.openedAt)
 	c.reader = bufio.NewReaderSize(c, memcache.MaxLineBytes)
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -24,11 +24,15 @@
 	for {
 		for b.handleCommand(c) && b.currentPhase() <= Leaving {
 		}
-		c.awaitAnswers() // requests in flight first; answers to a client that has gone are not waited for
-		if c.noMoreCommands.Load() || c.hasLeft() || !c.pollInput() {
-			break // otherwise what has arrived meanwhile is handled too
+		if c.noMoreCommands.Load() || c.hasLeft() {
+			break
+		}
+		// A client may send further commands for as long as an answer is owed.
+		if answered := c.awaitInputOrAnswers(); answered && !c.pollInput() {
+			break
 		}
 	}
+	c.awaitAnswers() // answers to a client that has gone are not waited for
 	c.closeGracefully()
 }
 
@@ -66,7 +70,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		// Interrupted without a check for input: closing now would lose a request that the kernel has accepted.
 		if c.noMoreCommands.Load() || !c.pollInput() {
-			return c.stopCommands()
+			return false
 		}
 		_, err = c.reader.Peek(1)
 	}
