Answer all commands that have arrived when draining runs out of time

Cause: at the end of draining every connection recorded that no further command is handled; what had been read ahead behind the requests in flight, or lay unread, was dropped by the close. A request that waited for a free place was begun at a host after that.

Change: out of time is a state of its own. The reader goes on with what has arrived without waiting for more, and each command is answered at once without a host. A request that starts in that moment looks at the state before anything is sent for it and once more when the policy knows it.

Tests of balancer and of drains, shutdowns, ends and large values pass.

--- a/cmd/streamrail/pipeline_end_test.go
+++ b/cmd/streamrail/pipeline_end_test.go
@@ -17,6 +17,50 @@
 	return map[string]any{"extra": readWriteThrough["extra"], "products": []any{product("read", "idempotent"), product("pay", "at_most_once")}}
 }
 
+// TestPipelineBeyondLimitAtDrainEnd guards against requests that are read ahead behind those in flight, or lie unread, when draining runs
+// out of time: they were passed over without an answer.
+func TestPipelineBeyondLimitAtDrainEnd(t *testing.T) {
+	const timeout = 800 * time.Millisecond
+	longValue := strings.Repeat("w", 100<<10)
+	for name, row := range map[string]struct {
+		commands func(i int) string
+		count    int
+	}{
+		"reads": {func(i int) string { return getRequest("k", fmt.Sprint("r", i), int(timeout/time.Millisecond)) }, 2000},
+		"probes and writes": {func(i int) string {
+			return []string{"mn\r\n", putRequest("pay", "k", fmt.Sprint("w", i), int(timeout/time.Millisecond))}[i%2]
+		}, 80},
+		"long writes": {func(i int) string {
+			return fmt.Sprintf("ms k %d Ol%d Pc=pay,d=%d\r\n%s\r\n", len(longValue), i, timeout/time.Millisecond, longValue)
+		}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "h", func(command) string { return "" })
+			p, _ := startWithHosts(t, withClientTimeout(timeout), nil, h)
+			c := p.dial(t)
+			expect(t, c.ask("mn\r\n"), "MN")
+			p.Process.Signal(syscall.SIGTERM)
+			time.Sleep(500 * time.Millisecond)
+			var commands strings.Builder
+			for i := range row.count {
+				commands.WriteString(row.commands(i))
+			}
+			sentAt := time.Now()
+			c.send(commands.String())
+			for i := range row.count {
+				if got := c.next(); !strings.HasPrefix(got, "SERVER_ERROR ") {
+					t.Fatalf("command %d of %d got %q %v after it was sent", i, row.count, got, time.Since(sentAt))
+				}
+			}
+			expect(t, c.next(), "EOF")
+			if code := p.waitForExit(t); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+}
+
 // TestCommandsBehindOwedAnswerWhileDraining guards against a connection whose reader finds nothing at the instant at which draining begins,
 // while an answer is owed: it read no further, and what the client sent before the answer was passed over.
 func TestCommandsBehindOwedAnswerWhileDraining(t *testing.T) {
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -17,6 +17,7 @@
 	active      int // connections that have carried a request and are not evicted
 	maxActive   int // limit on active before idle connections are evicted
 	closed      bool
+	outOfTime   bool          // endService was called
 	allClosed   chan struct{} // closed once the listener is closed and no connection is left
 	freed       chan struct{} // receives a value when a connection is removed
 }
@@ -64,6 +65,7 @@
 func (cs *clientConns) add(c *clientConn) {
 	cs.mu.Lock()
 	cs.conns[c] = struct{}{}
+	c.outOfTime.Store(cs.outOfTime)
 	cs.mu.Unlock()
 	cs.makeRoomFor(c)
 }
@@ -231,12 +233,13 @@
 	}
 }
 
-// closeAll closes every connection as soon as its requests in flight are answered; no further command is read.
-func (cs *clientConns) closeAll() {
+// endService makes every connection answer the commands that have arrived, without sending anything to hosts, and then close.
+func (cs *clientConns) endService() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	cs.outOfTime = true
 	for c := range cs.conns {
-		c.noMoreCommands.Store(true)
+		c.outOfTime.Store(true)
 		c.interrupt()
 	}
 }
--- a/internal/balancer/client_close.go
+++ b/internal/balancer/client_close.go
@@ -202,9 +202,6 @@
 	if c.hasBufferedInput() || c.readAheadBuf.err != nil {
 		return true
 	}
-	if c.receiver.raw == nil {
-		return false
-	}
 	c.readAheadBuf.fill(c.receiver.poll)
 	return c.readAheadBuf.size > 0 || c.readAheadBuf.err != nil
 }
--- a/internal/balancer/client_conn.go
+++ b/internal/balancer/client_conn.go
@@ -32,6 +32,7 @@
 	lastByteAt      time.Time       // when the last byte that was read had arrived
 	readAheadBuf    readAheadBuffer // what was read while the reader waited for something else
 	noMoreCommands  atomic.Bool     // no further command is handled
+	outOfTime       atomic.Bool     // the process ends: commands that have arrived are answered, and nothing is sent to hosts for them
 	discarding      atomic.Bool     // everything is answered, and further input is discarded
 	gone            chan struct{}   // closed when the client has closed the connection
 	goneOnce        sync.Once
@@ -79,7 +80,7 @@
 }
 
 // Read reads from the read-ahead buffer, then from the connection, and records when the bytes had arrived. When it is interrupted within a
-// command it reads on until the command's deadline.
+// command it reads on until the command's deadline. Out of time it reads only what has arrived.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, arrivedAt, empty, err := c.readAheadBuf.take(p)
 	if !empty {
@@ -89,11 +90,7 @@
 		}
 		return n, err
 	}
-	n, arrivedAt, err = c.receiver.read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.inCommand.Load() && !c.evicted.Load() && !c.noMoreCommands.Load() && time.Now().Before(c.commandDeadline) {
-		c.conn.SetReadDeadline(c.commandDeadline)
-		n, arrivedAt, err = c.receiver.read(p)
-	}
+	n, arrivedAt, err = c.receive(p)
 	if n > 0 {
 		c.lastReadNanos.Store(int64(arrivedAt.Sub(c.openedAt)))
 		c.lastByteAt = c.receiver.lastByteAt
@@ -101,6 +98,24 @@
 	return n, err
 }
 
+// receive reads from the connection.
+func (c *clientConn) receive(p []byte) (n int, arrivedAt time.Time, err error) {
+	if !c.outOfTime.Load() {
+		n, arrivedAt, err = c.receiver.read(p)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, arrivedAt, err
+		}
+	}
+	switch {
+	case c.outOfTime.Load():
+		return c.receiver.poll(p)
+	case c.inCommand.Load() && !c.evicted.Load() && !c.noMoreCommands.Load() && time.Now().Before(c.commandDeadline):
+		c.conn.SetReadDeadline(c.commandDeadline)
+		return c.receiver.read(p)
+	}
+	return n, arrivedAt, err
+}
+
 // lastReadTime returns the earliest time at which the last bytes can have arrived; they may have waited unread.
 func (c *clientConn) lastReadTime() time.Time {
 	return c.openedAt.Add(time.Duration(c.lastReadNanos.Load()))
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -72,7 +72,7 @@
 	if c.upload != nil { // its timeout starts at the last byte, which has not arrived yet
 		due = deadline.After(c.arrived, c.Timeout+maxUploadTime)
 	}
-	if due.Passed() { // the deadline passed while it waited behind other requests; nothing ran
+	if due.Passed() || c.client.outOfTime.Load() { // it waited behind other requests until its deadline or until the process ends; nothing ran
 		c.giveUpUnsent()
 		return
 	}
@@ -87,6 +87,9 @@
 		b.policy.RequestArrived(policy.Request{ID: c.id, Customer: c.customer, Product: c.product, Key: policy.Key(c.Key),
 			Write: c.Write, ClientRetry: c.ClientRetry, Deadline: b.toNanos(due)})
 	})
+	if c.client.outOfTime.Load() && c.claimAnswer() { // abandonAll may have come before the request was registered
+		b.answerAlone(c)
+	}
 	var uploadCheck <-chan time.Time // never receives for a request that is no long write
 	if c.upload != nil {
 		uploadCheck = c.upload.checkTimer.C
@@ -160,8 +163,13 @@
 	if !c.claimAnswer() {
 		return
 	}
-	b.post(func() { b.policy.RequestAbandoned(c.id) }) // it cancels the attempts in flight
 	b.delays.answeredByTimer.Add(1)
+	b.answerAlone(c)
+}
+
+// answerAlone answers a request without the policy. The caller has claimed the answer.
+func (b *Balancer) answerAlone(c *clientRequest) {
+	b.post(func() { b.policy.RequestAbandoned(c.id) }) // it cancels the attempts in flight
 	if c.inFlight == 0 && !c.mayHaveRun {
 		c.giveUpUnsent()
 	} else {
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -183,7 +183,7 @@
 		case <-b.clients.allClosed:
 			return
 		case <-end:
-			b.clients.closeAll()
+			b.clients.endService()
 			b.log.Warn().Int("left", b.abandonAll()).Msg("out of time while draining")
 			select {
 			case <-b.clients.allClosed:
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -126,7 +126,7 @@
 	if req.isLongWrite() && c.noMoreCommands.Load() { // reading was stopped before the value arrived
 		return req.refuseAndStop()
 	}
-	started, admitted := false, b.inFlight.Add(1) <= b.maxInFlight.Load() && b.clients.makeRoomFor(c)
+	started, admitted := false, b.inFlight.Add(1) <= b.maxInFlight.Load() && !c.outOfTime.Load() && b.clients.makeRoomFor(c)
 	defer func() {
 		if !started {
 			b.inFlight.Add(-1)
@@ -147,7 +147,10 @@
 		req.upload = newUpload(req)
 	} else if req.Write {
 		terminated, err := req.readValue(admitted && fault == nil)
-		if err != nil {
+		switch {
+		case err != nil && fault == nil && c.outOfTime.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+			return req.refuseAndStop()
+		case err != nil:
 			return c.connectionLost(err)
 		}
 		if !terminated {
@@ -158,6 +161,7 @@
 	if c.noMoreCommands.Load() && !streamed { // reading was stopped while the request was read: nothing is sent to hosts any more
 		return req.refuseAndStop()
 	}
+	admitted = admitted && (streamed || !c.outOfTime.Load())
 	if fault == nil && admitted && !streamed && !b.claimID(req) {
 		fault = memcache.IDInUse
 	}
--- a/internal/balancer/receiver.go
+++ b/internal/balancer/receiver.go
@@ -139,6 +139,9 @@
 
 // poll is like read, but does not wait and ignores the connection's read deadline.
 func (r *receiver) poll(p []byte) (n int, arrived time.Time, err error) {
+	if r.raw == nil {
+		return 0, arrived, os.ErrDeadlineExceeded
+	}
 	r.prepare(p)
 	r.err = os.ErrDeadlineExceeded
 	err = r.raw.Control(func(fd uintptr) {
