Remember the id of a write that may have run for a minute after its request

Seen: a write is out at the origin, its client leaves, 0.25 s later the same id comes from another connection: the origin gets it twice, the first still running. The same after it has run, and after an answer.

Cause: an id was held while its request was in hand. An attempt outlives that: the client's departure ends the request and resets the attempt's connection, while the origin runs on.

Change: the id of a request with an effect that may have run, by the account that decides about retries, stays taken for requests with an effect for a minute after the last attempt ended. An id of which every attempt provably never ran is free at once; reads are not concerned (TestIDInUse holds as it was).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -51,7 +51,7 @@
 	requests map[policy.RequestID]*clientRequest
 
 	requestCount atomic.Uint64
-	requestIDs   idSet
+	requestIDs   requestIDs
 
 	clients         *clientConns
 	toIdleWorker    chan *clientRequest // hands a request to an idle goroutine
@@ -86,7 +86,7 @@
 	epoch := time.Now()
 	epochNanos := policy.Nanos(epoch.UnixNano())
 	b := &Balancer{deployment: deployed, log: log, epoch: epoch, epochNanos: epochNanos, phaseChanged: make(chan struct{}, 4), toIdleWorker: make(chan *clientRequest),
-		subscribeRequested: make(chan struct{}, 1), requests: map[policy.RequestID]*clientRequest{}, requestIDs: idSet{inUse: map[string]struct{}{}},
+		subscribeRequested: make(chan struct{}, 1), requests: map[policy.RequestID]*clientRequest{}, requestIDs: newRequestIDs(deployed.MemoryMB),
 		traffic:     trafficStats{hosts: map[policy.HostID]*[2]int64{}},
 		answerStats: newAnswerStats(deployed),
 		clients:     newClientConns(deployed.MaxSockets / 4),
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -24,6 +24,7 @@
 	arrived          time.Time         // when its last byte arrived; for a long write, its command line
 	admitted         time.Time         // when its handling began, after it was read and admitted
 	deadline         deadline.Deadline // of the client; a long write uses upload.Deadline once its last byte has arrived
+	idKey            idKey             // stands for the client's id
 	id               policy.RequestID  // chosen here, so it is unique among open requests whatever ids clients send
 	previousAnswered chan struct{}     // closed when all earlier commands of the connection are answered
 	answered         chan struct{}     // closed when this request is answered
--- a/internal/balancer/read.go
+++ b/internal/balancer/read.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"os"
-	"sync"
 	"time"
 
 	"streamrail/internal/deadline"
@@ -140,8 +139,9 @@
 		admitted = req.memory.reserve(clientValues, req.bufferBytes())
 	}
 	streamed := fault == nil && admitted && req.isLongWrite()
-	if streamed && !b.claimID(req) {
-		streamed, fault = false, memcache.IDInUse
+	if streamed {
+		fault = b.claimID(req)
+		streamed = fault == nil
 	}
 	if streamed {
 		req.upload = newUpload(req)
@@ -162,8 +162,8 @@
 		return req.refuseAndStop()
 	}
 	admitted = admitted && (streamed || !c.outOfTime.Load())
-	if fault == nil && admitted && !streamed && !b.claimID(req) {
-		fault = memcache.IDInUse
+	if fault == nil && admitted && !streamed {
+		fault = b.claimID(req)
 	}
 	if fault != nil {
 		return c.writeReply(fault.Line())
@@ -222,31 +222,6 @@
 	return nil
 }
 
-// idSet holds the ids that clients gave to their requests in flight.
-type idSet struct {
-	mu    sync.Mutex
-	inUse map[string]struct{}
-}
-
-// claimID reserves the request's id; false if another request in flight has it. Hosts identify an attempt by that id, and would
-// mistake one of the two for a repeat of the other.
-func (b *Balancer) claimID(req *clientRequest) bool {
-	b.requestIDs.mu.Lock()
-	defer b.requestIDs.mu.Unlock()
-	if _, taken := b.requestIDs.inUse[string(req.ID)]; taken {
-		return false
-	}
-	b.requestIDs.inUse[string(req.ID)] = struct{}{}
-	return true
-}
-
-// releaseID lets other requests use the id.
-func (b *Balancer) releaseID(req *clientRequest) {
-	b.requestIDs.mu.Lock()
-	defer b.requestIDs.mu.Unlock()
-	delete(b.requestIDs.inUse, string(req.ID))
-}
-
 // readValue reads a write's value, or discards it; terminated reports whether the line end follows it as it must.
 func (c *clientRequest) readValue(keep bool) (terminated bool, err error) {
 	in := c.client.reader
--- a/internal/memcache/memcache.go
+++ b/internal/memcache/memcache.go
@@ -52,6 +52,7 @@
 	UnknownCustomer = clientError("unknown customer", false)
 	NoDedupToken    = clientError("no mark against repeats", false)
 	IDInUse         = clientError("id is in hand", false)
+	IDUsed          = clientError("id has been used", false)
 )
 
 func clientError(text string, outOfSync bool) *Fault {
