Let the two processes of an upgrade know each other's request ids

Cause: each process knew its own ids only.

Change: the older process hands over the ids that are taken; then both tell each other which ids of requests with an effect they take and free. The older one decides, the newer one asks it before such a request begins, for 0.1 s at the most; beside a process that stands still it goes by what it was told. A process that cannot write to its peer any more now reads what that sent before it ended.

TestIDsInUpgrade and TestSameIDAtBothProcesses failed before (300 ids at both at once: 543 writes served, now 300); these and TestIDsBesideStoppedOrKilledProcess pass, five times the last, once the others with the race detector. Tests of balancer, handover and upgrades pass.

--- a/internal/balancer/request_ids.go
+++ b/internal/balancer/request_ids.go
@@ -25,13 +25,15 @@
 // requestIDs holds the ids of the requests in flight, and of past requests with an effect that may have run.
 type requestIDs struct {
 	mu       sync.Mutex
-	inFlight map[idKey]struct{}
+	inFlight map[idKey]bool // whether the request has an effect
 	past     pastIDs
+	peerPast pastIDs     // ids that the other process of an upgrade took
+	exchange *idExchange // nil: there is no other process
 }
 
 func newRequestIDs(memoryMB int) requestIDs {
 	capacity := min(maxPastIDs, memoryMB<<20/pastIDsMemoryDivisor/bytesPerPastID)
-	return requestIDs{inFlight: map[idKey]struct{}{}, past: pastIDs{capacity: capacity, expiresAt: map[idKey]time.Duration{}}}
+	return requestIDs{inFlight: map[idKey]bool{}, past: newPastIDs(capacity), peerPast: newPastIDs(capacity)}
 }
 
 // claimID reserves the request's id for it. The fault tells that another request has it, or had it and may have had an effect.
@@ -39,17 +41,39 @@
 	ids := &b.requestIDs
 	req.idKey = keyOfID(req.ID)
 	ids.mu.Lock()
-	defer ids.mu.Unlock()
+	if fault := ids.claim(req, time.Since(b.epoch)); fault != nil || !req.hasEffect() {
+		ids.mu.Unlock()
+		return fault
+	}
+	exchange := ids.exchange
+	refused := exchange.claim(req.idKey)
+	ids.mu.Unlock()
+	if exchange.awaitDecision(refused) {
+		ids.mu.Lock()
+		defer ids.mu.Unlock()
+		delete(ids.inFlight, req.idKey)
+		return memcache.IDInUse
+	}
+	return nil
+}
+
+// claim reserves an id in this process. The caller holds mu.
+func (ids *requestIDs) claim(req *clientRequest, now time.Duration) *memcache.Fault {
 	if _, taken := ids.inFlight[req.idKey]; taken {
 		return memcache.IDInUse
 	}
-	if req.hasEffect() && ids.past.contains(req.idKey, time.Since(b.epoch)) {
+	if req.hasEffect() && ids.isPast(req.idKey, now) {
 		return memcache.IDUsed
 	}
-	ids.inFlight[req.idKey] = struct{}{}
+	ids.inFlight[req.idKey] = req.hasEffect()
 	return nil
 }
 
+// isPast reports whether a request of either process of an upgrade that may have run had the id. The caller holds mu.
+func (ids *requestIDs) isPast(key idKey, now time.Duration) bool {
+	return ids.past.contains(key, now) || ids.peerPast.contains(key, now)
+}
+
 // releaseID lets other requests use the id, once all attempts of the request have ended. It stays taken for requests with an effect if
 // this one had an effect and may have run.
 func (b *Balancer) releaseID(req *clientRequest) {
@@ -57,8 +81,12 @@
 	ids.mu.Lock()
 	defer ids.mu.Unlock()
 	delete(ids.inFlight, req.idKey)
-	if req.hasEffect() && req.mayHaveRun {
+	switch {
+	case !req.hasEffect():
+	case req.mayHaveRun:
 		ids.past.add(req.idKey, time.Since(b.epoch))
+	default:
+		ids.exchange.enqueue(idChange{key: req.idKey, freed: true})
 	}
 }
 
@@ -89,6 +117,10 @@
 	expiresAt time.Duration
 }
 
+func newPastIDs(capacity int) pastIDs {
+	return pastIDs{capacity: capacity, expiresAt: map[idKey]time.Duration{}}
+}
+
 func (p *pastIDs) add(key idKey, now time.Duration) {
 	p.expire(now)
 	for len(p.queue) > 0 && len(p.queue) >= p.capacity {
@@ -105,6 +137,9 @@
 	return found
 }
 
+// remove forgets an id; its entry in the queue becomes obsolete.
+func (p *pastIDs) remove(key idKey) { delete(p.expiresAt, key) }
+
 // expire forgets the ids whose time is over.
 func (p *pastIDs) expire(now time.Duration) {
 	for len(p.queue) > 0 && now >= p.queue[0].expiresAt {
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -89,6 +89,10 @@
 		u.follower = newListFollower(peer, state.ListAddr)
 	}
 	b.splitLimits(state.Holds)
+	if state.RequestIDs != nil {
+		b.requestIDs.addTaken(state.RequestIDs.Taken, time.Since(b.epoch))
+		b.requestIDs.startExchange(peer, true)
+	}
 	go b.receiveFromOlder(peer)
 }
 
@@ -208,6 +212,7 @@
 	b.listSource.mu.Unlock()
 	state.Holds, state.Fleet = b.usage(), b.exportMembership()
 	u.newer = peer
+	state.RequestIDs = &handover.RequestIDs{Taken: b.requestIDs.startExchange(peer, false)}
 	b.splitLimits(handover.ResourceUsage{})
 	b.log.Info().Msg("handing over to a newer process")
 	go b.receiveFromNewer(peer)
@@ -239,6 +244,8 @@
 			}()
 		case handover.ExclusionApplied:
 			b.upgrade.deliverAnswer(m)
+		default:
+			b.receiveIDs(peer, m)
 		}
 	})
 	handingOver.Wait()
@@ -262,6 +269,8 @@
 			peer.Send(handover.Message{Kind: handover.ExclusionApplied, N: m.N})
 		case handover.ExclusionResponse:
 			b.upgrade.deliverAnswer(m)
+		default:
+			b.receiveIDs(peer, m)
 		}
 	})
 	b.peerEnded(&b.upgrade.older)
@@ -273,6 +282,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	*other = nil
+	b.requestIDs.endExchange()
 	u.newerReady.Store(false)
 	u.peerSilent.Store(false)
 	if u.older != nil || u.newer != nil {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -46,6 +46,13 @@
 	Learnt   json.RawMessage // what the balancing decisions have learnt about hosts
 	Holds    ResourceUsage
 	Fleet    json.RawMessage `json:",omitempty"` // its membership in the fleet of balancers, if it has one
+
+	RequestIDs *RequestIDs `json:",omitempty"` // nil: the older process does not exchange IDChanges
+}
+
+// RequestIDs are the ids that clients gave to requests which may not run again.
+type RequestIDs struct {
+	Taken []byte // the digests of the ids, one after another
 }
 
 // ResourceUsage is what a process uses of the resources that both processes share: connections of clients, connections to hosts
--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -19,17 +21,21 @@
 	ExclusionNotice   Kind = "ban"    // the older process has changed an exclusion; answered by ExclusionApplied
 	ExclusionApplied  Kind = "done"   // the newer process has applied an ExclusionNotice
 	ListUpdate        Kind = "list"   // the older process has applied an answer of discovery
+	IDChanges         Kind = "ids"    // the sender has taken or freed ids of requests; answered by IDDecision
+	IDDecision        Kind = "taken"  // the sender had taken some of the ids of an IDChanges before
 )
 
 // Message is one message between the two processes, sent as a line of JSON.
 type Message struct {
 	Kind   Kind
-	N      uint64         `json:",omitempty"` // number of an ExclusionRequest or ExclusionNotice, repeated in its answer
+	N      uint64         `json:",omitempty"` // number of an ExclusionRequest, ExclusionNotice or IDChanges, repeated in its answer
 	Member string         `json:",omitempty"` // the host of an ExclusionRequest or ExclusionNotice
 	Out    bool           `json:",omitempty"` // whether that host is excluded
 	Fault  string         `json:",omitempty"` // in an ExclusionResponse: why the change failed
 	Holds  *ResourceUsage `json:",omitempty"` // in a UsageReport
 
+	IDs []byte `json:",omitempty"` // in an IDChanges: a byte for the kind and a digest of the id for each; in an IDDecision: digests
+
 	ListAddr string          `json:",omitempty"` // in a ListUpdate: the address of the discovery service
 	List     json.RawMessage `json:",omitempty"` // in a ListUpdate: the answer, in discovery's format
 }
@@ -62,9 +68,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := p.conn.Write(append(line, '\n')); err != nil {
+	if _, err := p.conn.Write(append(line, '\n')); errors.Is(err, os.ErrDeadlineExceeded) {
 		p.Close()
-	}
+	} // after another error the other process has ended: Receive still gets what it sent before, then closes the connection
 }
 
 // Receive passes received messages to handle until the other process ends or sends an invalid message, then closes the
