Stay for long values that hosts still write when draining runs out of time

Cause: once out of time draining waited for 0.25 s and returned, whatever was still being passed on.

Change: the process counts the long values under way and ends 0.25 s after the last of them, or after 30 s more. Commands behind one are answered at once when it is whole. A second SIGTERM still ends it at once.

--- a/cmd/streamrail/stream_test.go
+++ b/cmd/streamrail/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -159,3 +160,43 @@
 		})
 	}
 }
+
+// TestLargeValueOutlivesDraining guards against a long value that is cut off because draining runs out of time while its host still writes it.
+// A command behind it is answered too, and the process ends after that.
+func TestLargeValueOutlivesDraining(t *testing.T) {
+	const timeout, pieces = 800 * time.Millisecond, 8
+	for _, upgrade := range []bool{false, true} {
+		t.Run(fmt.Sprint("upgrade ", upgrade), func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "h", func(cmd command) string {
+				fmt.Fprintf(cmd.conn, "VA %d O%s\r\n", pieces*len(valueChunk), cmd.id)
+				for range pieces {
+					io.WriteString(cmd.conn, valueChunk)
+					time.Sleep(timeout / 2)
+				}
+				return "\r\n"
+			})
+			d := newDiscoveryServer(t)
+			d.setHost("h", h.addr, "cache", "active")
+			dir, config := shortDir(t), deploymentConfig(d, freeAddr(t), withClientTimeout(timeout))
+			p, _ := launchReady(t, config, dir)
+			c := p.dial(t)
+			c.send(getRequest("large", "a", int(timeout/time.Millisecond)))
+			await(t, h.received, "the read")
+			if upgrade {
+				launchReady(t, config, dir)
+			}
+			p.Process.Signal(syscall.SIGTERM)
+			p.waitForLog(t, "out of time while draining")
+			c.send(getRequest("k", "behind", int(timeout/time.Millisecond)))
+			if got := c.next(); len(got) != len(fmt.Sprintf("VA %d Oa|", pieces*len(valueChunk)))+pieces*len(valueChunk) {
+				t.Errorf("the client got %d bytes: %.60q", len(got), got)
+			}
+			expect(t, c.next(), "SERVER_ERROR busy")
+			expect(t, c.next(), "EOF")
+			if code := p.waitForExit(t); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,7 @@
 	idleWorkers     atomic.Int64        // goroutines that receive from toIdleWorker
 	capacity        resourceLimits      // limits of a single process, which the two processes of an upgrade split
 	inFlight        atomic.Int64        // requests in flight
+	streams         atomic.Int64        // long values that are being passed on to clients
 	maxInFlight     atomic.Int64
 	memory          memoryBudget
 	traffic         trafficStats
--- a/internal/balancer/phases.go
+++ b/internal/balancer/phases.go
@@ -51,6 +51,7 @@
 	drainOverrun     = 400 * time.Millisecond
 	maxClientTimeout = 3 * time.Second
 	finalAnswerTime  = lingerTime + 50*time.Millisecond // for the remaining answers, and for clients to receive the end of the connection
+	maxFinalStream   = 30 * time.Second                 // for long values that hosts still write; whoever ends the process may kill it before
 )
 
 // Run takes the balancer through its phases and returns once it has stopped.
@@ -185,11 +186,23 @@
 		case <-end:
 			b.clients.endService()
 			b.log.Warn().Int("left", b.abandonAll()).Msg("out of time while draining")
-			select {
-			case <-b.clients.allClosed:
-			case <-time.After(finalAnswerTime):
-			}
+			b.awaitLastAnswers()
+			return
+		case <-b.phaseChanged:
+		}
+	}
+}
+
+// awaitLastAnswers waits until the remaining answers are written and their clients have received the end of the connection. A long value
+// takes as long as its host and its client do.
+func (b *Balancer) awaitLastAnswers() {
+	streamsEnd := time.Now().Add(maxFinalStream)
+	for streaming := true; streaming && b.currentPhase() == Draining; {
+		streaming = b.streams.Load() > 0 && time.Now().Before(streamsEnd)
+		select {
+		case <-b.clients.allClosed:
 			return
+		case <-time.After(finalAnswerTime):
 		case <-b.phaseChanged:
 		}
 	}
--- a/internal/balancer/stream.go
+++ b/internal/balancer/stream.go
@@ -19,6 +19,8 @@
 	if !begun {
 		return false
 	}
+	c.balancer.streams.Add(1)
+	defer c.balancer.streams.Add(-1)
 	defer close(c.answered)
 	defer c.balancer.answerStats.unanswered.Add(-1)
 	select {
