Do not count long values against their host while clients read them slowly

Seen: 400 clients that read 4 MiB values at 80 kB/s, four cache hosts, 64 MB: 8,380 of 8,446 reads of usual clients refused.

Cause: an attempt counted against its host's limit until its transfer ended. The log told rate_limited and in_hand 52; the host limit of 12 without history times four hosts named it. Ruled out: memory (1.7 of 16 MB reserved), sockets, requests in flight (52 of 512).

Change: AnswerStarted takes the attempt off the counts of host and fleet. A value given up for lack of room no longer counts against its host.

TestSlowReadersLeaveRoom failed before (12 of 60 slow readers served, all usual reads refused), passes in 3 of 3. Tests of policy and of all internal packages pass.

--- a/cmd/streamrail/stream_test.go
+++ b/cmd/streamrail/stream_test.go
@@ -200,3 +200,44 @@
 		})
 	}
 }
+
+// TestSlowReadersLeaveRoom guards against clients that read long values slowly and hold all that may be in flight at the hosts, or all
+// connections to them, so that the requests of others are refused.
+func TestSlowReadersLeaveRoom(t *testing.T) {
+	for name, row := range map[string]struct{ sockets, slow, served int }{
+		"the limit of the host": {2048, 60, 60},
+		"the connections":       {384, 200, 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, "h", func(cmd command) string {
+				if cmd.fields[1] != "large" {
+					return answerHit(cmd)
+				}
+				return fmt.Sprintf("VA %d O%s\r\n%s\r\n", largeValueSize, cmd.id, strings.Repeat("v", largeValueSize))
+			})
+			d := newDiscoveryServer(t)
+			d.setHost("h", h.addr, "cache", "active")
+			config := deploymentConfig(d, freeAddr(t), readWriteThrough)
+			config["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": row.sockets}
+			p := launchServing(t, config)
+			served := 0
+			for i := range row.slow {
+				c := p.dial(t)
+				c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+				c.send(getRequest("large", fmt.Sprint("slow", i), 3000))
+				if line, _ := c.in.ReadString('\n'); strings.HasPrefix(line, "VA ") { // the client reads no more of it
+					served++
+				}
+			}
+			if served < row.served {
+				t.Errorf("%d of %d slow readers were served, expected at least %d", served, row.slow, row.served)
+			}
+			c := p.dial(t)
+			for i := range 100 {
+				id := fmt.Sprint("usual", i)
+				expect(t, c.ask(getRequest("k", id, 900)), "VA 10 O"+id+"|value of k")
+			}
+		})
+	}
+}
--- a/internal/balancer/upgrade_limits.go
+++ b/internal/balancer/upgrade_limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"streamrail/internal/handover"
+	"streamrail/internal/upstream"
 )
 
 // Resource limits in an upgrade: both processes together stay within those of one.
@@ -21,6 +22,7 @@
 func (b *Balancer) setLimits(limits resourceLimits) {
 	b.clients.setLimits(int(limits.clients-limits.clients/8), int(limits.clients))
 	b.hosts.SetMaxConnections(int(limits.upstream))
+	b.hosts.SetMaxTransfers(int(min(limits.upstream, limits.requests, limits.bytes/upstream.StreamBufferBytes) / 2)) // the other half is for requests that end soon
 	b.maxInFlight.Store(limits.requests)
 	b.memory.limit.Store(limits.bytes)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -146,6 +146,8 @@
 		r = Result{Outcome: policy.TimedOut}
 	case isConnectionError(err):
 		r = Result{Outcome: policy.Reset}
+	case errors.Is(err, errTooManyTransfers) || errors.Is(err, errNoMemory): // that says nothing about the host
+		r = Result{Outcome: policy.Cancelled}
 	case err != nil:
 		c.reportDisbelieved(a, err)
 		r = Result{Outcome: policy.MalformedAnswer}
@@ -244,6 +246,8 @@
 	errInvalidAnswer = errors.New("not an answer to this attempt")
 	errForeignID     = errors.New("answer with the id of another request")
 	errNoMemory      = errors.New("no memory for the value")
+
+	errTooManyTransfers = errors.New("too many long values are being passed on")
 )
 
 // read reads the answer to an attempt. After an answer without an id the connection is not reused.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -100,6 +100,10 @@
 // streamValue passes a long value on while it is received. A client that does not read it is not a failure of the host, but the
 // connection cannot be reused.
 func (c *conn) streamValue(a *Attempt, r Result, length int, readEnd func() error) (Result, bool, error) {
+	if !c.hosts.beginTransfer(c.host) {
+		return r, false, errTooManyTransfers
+	}
+	defer c.hosts.endTransfer(c.host)
 	if !a.ReserveMemory(StreamBufferBytes) {
 		return r, false, errNoMemory
 	}
--- a/internal/upstream/unattributed.go
+++ b/internal/upstream/unattributed.go
@@ -36,7 +36,6 @@
 // reportDisbelieved reports an answer that was not taken as the answer to an attempt.
 func (c *conn) reportDisbelieved(a *Attempt, err error) {
 	switch {
-	case errors.Is(err, errNoMemory): // the answer was not read to its end
 	case errors.Is(err, errForeignID):
 		c.report(ForeignID, a, err)
 	default:
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -117,6 +117,9 @@
 	done     chan struct{}          // closed by Close
 	excluded map[policy.HostID]bool // hosts excluded by an operator
 
+	transfers    int // connections on which a long value is being passed on to a client
+	maxTransfers int // limit on transfers
+
 	sent                atomic.Int64 // attempts completely written, including those to the origin
 	closed              closeStats
 	unattributed        [causeCount]atomic.Int64
@@ -128,12 +131,14 @@
 	isOrigin bool
 	noticeAt time.Time // when the notice came that the host drains, is gone or is excluded; zero: it is in use
 	open     int
+
+	transfers int // connections on which a long value of the host is being passed on
 }
 
 // New creates an empty set of hosts. Discovery lists the origin with the given kind.
 func New(config Config, origin policy.MachineKind) *Hosts {
 	hs := &Hosts{config: config, origin: origin, epoch: time.Now(), Dial: (&net.Dialer{}).DialContext, byID: map[policy.HostID]*host{}, conns: map[pool.Conn]*conn{},
-		attempts: map[pool.Attempt]*Attempt{}, excluded: map[policy.HostID]bool{}, done: make(chan struct{})}
+		attempts: map[pool.Attempt]*Attempt{}, excluded: map[policy.HostID]bool{}, done: make(chan struct{}), maxTransfers: max(1, config.Pool.MaxConnections/2)}
 	hs.pool = pool.New(poolActions{hs}, config.Pool, rand.Float64)
 	go hs.tick()
 	return hs
@@ -346,6 +351,34 @@
 	hs.pool.SetMaxConnections(limit)
 }
 
+// SetMaxTransfers changes how many long values may be passed on at a time. Clients that read slowly hold their connections for long, so the
+// limit has to leave connections to other requests.
+func (hs *Hosts) SetMaxTransfers(limit int) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	hs.maxTransfers = limit
+}
+
+// beginTransfer reports whether one more long value of a host may be passed on; if so, endTransfer must follow. The connections to the
+// origin have a limit of their own, of which transfers get half.
+func (hs *Hosts) beginTransfer(h *host) bool {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	if hs.transfers >= hs.maxTransfers || h.isOrigin && h.transfers >= max(1, hs.config.OriginMaxConnections/2) {
+		return false
+	}
+	hs.transfers++
+	h.transfers++
+	return true
+}
+
+func (hs *Hosts) endTransfer(h *host) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	hs.transfers--
+	h.transfers--
+}
+
 // OpeningsNeed returns the largest fraction of a host's connection openings that this balancer asked for in the period that ends now.
 func (hs *Hosts) OpeningsNeed(period time.Duration) float64 {
 	hs.mu.Lock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,11 +52,8 @@
 	now := b.env.Now()
 	h, r := b.hosts[e.HostID], b.requests[e.RequestID]
 	if h != nil {
-		if h.inFlight > 0 {
-			h.inFlight--
-			if h.availablePos > 0 {
-				b.attemptsInFlight--
-			}
+		if r == nil || !r.streaming { // AnswerStarted has done it
+			b.releaseHost(h)
 		}
 		h.lastEnded, h.lastAttemptSeconds = now, e.Duration.seconds()
 		b.dropIfGone(h)
@@ -136,10 +133,29 @@
 	}
 }
 
-// AnswerStarted reports that an answer has begun; from then on the client timeout does not apply.
+// releaseHost takes one attempt off those that count against the limits of a host and of the fleet.
+func (b *Balancer) releaseHost(h *cacheHost) {
+	if h.inFlight == 0 {
+		return
+	}
+	h.inFlight--
+	if h.availablePos > 0 {
+		b.attemptsInFlight--
+	}
+}
+
+// AnswerStarted reports that an answer has begun; from then on the client timeout does not apply. The host has done its work: how long
+// the transfer takes depends on the client, so the attempt no longer counts against the host's limit.
 func (b *Balancer) AnswerStarted(id RequestID) {
-	if r := b.requests[id]; r != nil {
-		r.streaming = true
+	r := b.requests[id]
+	if r == nil || r.streaming {
+		return
+	}
+	r.streaming = true
+	for _, a := range r.attempts {
+		if h := b.hosts[a.host.HostID]; a.inFlight && h != nil {
+			b.releaseHost(h)
+		}
 	}
 }
 
