Do not count long writes against the origin while clients write them slowly

Seen: 400 clients that write 4 MiB values at 40 kB/s: 6,435 of 6,856 usual writes refused; with clients that stop half way 1,484 of 3,998.

Cause: an attempt counted against the origin's limit from its head on, though the origin begins only with the last byte, and 64 connections go there.

Change: the policy is told that a value still arrives and counts the attempt from WriteReceived on. Transfers of long values, either way, hold half of the connections to the origin at the most; a further long write is not begun there and answered busy.

Tests of policy, upstream, balancer and of large values pass.

--- a/cmd/streamrail/stream_test.go
+++ b/cmd/streamrail/stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -241,3 +242,27 @@
 		})
 	}
 }
+
+// TestSlowWritersLeaveRoom guards against clients that write long values slowly and hold all that may be in flight at the origin, or all
+// connections to it, so that the writes of others are refused.
+func TestSlowWritersLeaveRoom(t *testing.T) {
+	o := newOrigin(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "done")
+	})
+	go func() {
+		for range o.requests { // a full channel would block the origin
+		}
+	}()
+	p, _ := startWithHosts(t, nil, o, newHost(t, "h", answerHit))
+	for i := range 100 {
+		c := p.dial(t)
+		c.send(fmt.Sprintf("ms large %d Oslow%d Pc=pay,d=3000\r\n%s", largeValueSize, i, valueChunk)) // the client writes no more of it for now
+	}
+	time.Sleep(200 * time.Millisecond) // their attempts have begun by then; if not, they are in the way of fewer writes
+	c := p.dial(t)
+	for i := range 100 {
+		id := fmt.Sprint("usual", i)
+		expect(t, c.ask(putRequest("pay", "k", id, 900)), "HD O"+id+" cdone")
+	}
+}
--- a/internal/balancer/decide.go
+++ b/internal/balancer/decide.go
@@ -86,7 +86,7 @@
 	b.post(func() {
 		b.requests[c.id] = c
 		b.policy.RequestArrived(policy.Request{ID: c.id, Customer: c.customer, Product: c.product, Key: policy.Key(c.Key),
-			Write: c.Write, ClientRetry: c.ClientRetry, Deadline: b.toNanos(due)})
+			Write: c.Write, ClientRetry: c.ClientRetry, Deadline: b.toNanos(due), ValueArriving: c.upload != nil})
 	})
 	if c.client.outOfTime.Load() && c.claimAnswer() { // abandonAll may have come before the request was registered
 		b.answerAlone(c)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -127,8 +127,14 @@
 	if announced < time.Millisecond {
 		return Result{Outcome: policy.NeverSent}, false, true
 	}
-	if a.Upload != nil && !a.Upload.Take() { // another attempt has taken the value
-		return Result{Outcome: policy.NeverSent}, false, true
+	if a.Upload != nil {
+		if !c.hosts.beginTransfer(c.host) {
+			return Result{Outcome: policy.NeverSent, Err: errTooManyTransfers}, false, true
+		}
+		defer c.hosts.endTransfer(c.host)
+		if !a.Upload.Take() { // another attempt has taken the value
+			return Result{Outcome: policy.NeverSent}, false, true
+		}
 	}
 	began := time.Now()
 	c.exchanges++
@@ -247,7 +253,7 @@
 	errForeignID     = errors.New("answer with the id of another request")
 	errNoMemory      = errors.New("no memory for the value")
 
-	errTooManyTransfers = errors.New("too many long values are being passed on")
+	errTooManyTransfers = errors.New("too many long values are in transfer")
 )
 
 // read reads the answer to an attempt. After an answer without an id the connection is not reused.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -117,7 +117,7 @@
 	done     chan struct{}          // closed by Close
 	excluded map[policy.HostID]bool // hosts excluded by an operator
 
-	transfers    int // connections on which a long value is being passed on to a client
+	transfers    int // connections on which a long value is being passed on, from or to a client
 	maxTransfers int // limit on transfers
 
 	sent                atomic.Int64 // attempts completely written, including those to the origin
@@ -132,7 +132,7 @@
 	noticeAt time.Time // when the notice came that the host drains, is gone or is excluded; zero: it is in use
 	open     int
 
-	transfers int // connections on which a long value of the host is being passed on
+	transfers int // connections on which a long value is being passed on, from or to the host
 }
 
 // New creates an empty set of hosts. Discovery lists the origin with the given kind.
@@ -351,15 +351,15 @@
 	hs.pool.SetMaxConnections(limit)
 }
 
-// SetMaxTransfers changes how many long values may be passed on at a time. Clients that read slowly hold their connections for long, so the
-// limit has to leave connections to other requests.
+// SetMaxTransfers changes how many long values may be passed on at a time. Clients that read or write slowly hold their connections for
+// long, so the limit has to leave connections to other requests.
 func (hs *Hosts) SetMaxTransfers(limit int) {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	hs.maxTransfers = limit
 }
 
-// beginTransfer reports whether one more long value of a host may be passed on; if so, endTransfer must follow. The connections to the
+// beginTransfer reports whether one more long value may be passed on; if so, endTransfer must follow. The connections to the
 // origin have a limit of their own, of which transfers get half.
 func (hs *Hosts) beginTransfer(h *host) bool {
 	hs.mu.Lock()
--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -44,6 +44,41 @@
 	}
 }
 
+// countAtHost changes how many attempts count against the limits of a host and of the fleet.
+func (b *Balancer) countAtHost(h *cacheHost, change int) {
+	if h.inFlight+change < 0 {
+		return
+	}
+	if h.inFlight == 0 {
+		h.busySince = b.env.Now()
+	}
+	h.inFlight += change
+	if h.availablePos > 0 {
+		b.attemptsInFlight += change
+	}
+}
+
+// setCounted makes an attempt count against the limits of its host and of the fleet, or not. An attempt counts while its host works on it,
+// not while a client writes or reads a long value.
+func (b *Balancer) setCounted(a *attempt, h *cacheHost, counted bool) {
+	switch {
+	case counted && !a.counted:
+		b.countAtHost(h, 1)
+	case !counted && a.counted:
+		b.countAtHost(h, -1)
+	}
+	a.counted = counted
+}
+
+// setInFlightCounted does the same for the attempts of a request that have not ended.
+func (b *Balancer) setInFlightCounted(r *request, counted bool) {
+	for i := range r.attempts {
+		if h := b.hosts[r.attempts[i].host.HostID]; h != nil && r.attempts[i].inFlight {
+			b.setCounted(&r.attempts[i], h, counted)
+		}
+	}
+}
+
 // hostHasCapacity reports whether a host may get one more request. Requests beyond a quota are limited to half of
 // the host's limit, and products of low value to slightly less than all of it.
 func (b *Balancer) hostHasCapacity(h *cacheHost, r *request) bool {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,8 +52,10 @@
 	now := b.env.Now()
 	h, r := b.hosts[e.HostID], b.requests[e.RequestID]
 	if h != nil {
-		if r == nil || !r.streaming { // AnswerStarted has done it
-			b.releaseHost(h)
+		if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) {
+			b.countAtHost(h, -1)
+		} else {
+			b.setCounted(&r.attempts[e.Attempt], h, false)
 		}
 		h.lastEnded, h.lastAttemptSeconds = now, e.Duration.seconds()
 		b.dropIfGone(h)
@@ -133,17 +135,6 @@
 	}
 }
 
-// releaseHost takes one attempt off those that count against the limits of a host and of the fleet.
-func (b *Balancer) releaseHost(h *cacheHost) {
-	if h.inFlight == 0 {
-		return
-	}
-	h.inFlight--
-	if h.availablePos > 0 {
-		b.attemptsInFlight--
-	}
-}
-
 // AnswerStarted reports that an answer has begun; from then on the client timeout does not apply. The host has done its work: how long
 // the transfer takes depends on the client, so the attempt no longer counts against the host's limit.
 func (b *Balancer) AnswerStarted(id RequestID) {
@@ -152,16 +143,15 @@
 		return
 	}
 	r.streaming = true
-	for _, a := range r.attempts {
-		if h := b.hosts[a.host.HostID]; a.inFlight && h != nil {
-			b.releaseHost(h)
-		}
-	}
+	b.setInFlightCounted(r, false)
 }
 
-// WriteReceived reports that the last byte of a long write has arrived, which fixes the client's deadline.
+// WriteReceived reports that the last byte of a long write has arrived, which fixes the client's deadline. Until then the host has had
+// nothing to do, so only from now on the attempt counts against its limit.
 func (b *Balancer) WriteReceived(id RequestID, deadline Nanos) {
 	if r := b.requests[id]; r != nil && !r.finished {
+		r.ValueArriving = false
+		b.setInFlightCounted(r, true)
 		r.Deadline = deadline
 		b.env.SetTimer(max(0, deadline-b.env.Now()-2*b.config.TimerGranularity), TimerID("e"+id))
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -8,16 +8,10 @@
 // send starts an attempt at a cache host or the origin.
 func (b *Balancer) send(r *request, to *cacheHost) {
 	now := b.env.Now()
-	if to.inFlight == 0 {
-		to.busySince = now
-	}
-	to.inFlight++
 	to.firstUseDue = 0
-	if to != b.origin {
-		b.attemptsInFlight++
-	}
 	r.attempts = append(r.attempts, attempt{host: to, sentAt: now, inFlight: true, goodCountAtSend: to.goodCount})
 	r.inFlight++
+	b.setCounted(&r.attempts[len(r.attempts)-1], to, !r.ValueArriving)
 	b.env.Send(r.ID, to.HostID, r.Deadline, r.latestStart())
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -62,7 +62,7 @@
 	ringNumber                    uint32
 	virtualNodes                  int     // number of them on the ring
 	countedCapacity               float64 // its part of Balancer.warmCapacity
-	inFlight                      int     // attempts of this balancer that have not ended
+	inFlight                      int     // attempts of this balancer that count against its limit
 	busySince, lastEnded          Nanos   // inFlight last rose from 0; an attempt last ended
 	listedLoad                    float64 // requests per core, by the host list
 	concurrencyLimit              float64 // attempts of this balancer that may be in flight
@@ -102,6 +102,7 @@
 	host            *cacheHost
 	sentAt          Nanos
 	inFlight        bool
+	counted         bool // against the limits of its host and of the fleet
 	mayHaveRun      bool
 	noConnection    bool
 	goodCountAtSend int // goodCount of the host
--- a/policy/types.go
+++ b/policy/types.go
@@ -110,6 +110,8 @@
 	Write        bool
 	ClientRetry  bool  // a client retry, where clients mark them
 	Deadline     Nanos // instant on the clock of Environment.Now at which the client gives up
+
+	ValueArriving bool // a long write whose value the client still writes; WriteReceived follows
 	ExpectedWork Nanos // expected processing time on a standard core; 0: not known
 }
 
