--- a/policy/types.go
+++ b/policy/types.go
@@ -103,16 +103,16 @@
 
 // Request is a request as it arrives at the balancer.
 type Request struct {
-	ID           RequestID
-	Customer     Customer
-	Product      Product
-	Key          Key
-	Write        bool
-	ClientRetry  bool  // a client retry, where clients mark them
-	Deadline     Nanos // instant on the clock of Environment.Now at which the client gives up
-
-	ValueArriving bool // a long write whose value the client still writes; WriteReceived follows
-	ExpectedWork Nanos // expected processing time on a standard core; 0: not known
+	ID          RequestID
+	Customer    Customer
+	Product     Product
+	Key         Key
+	Write       bool
+	ClientRetry bool  // a client retry, where clients mark them
+	Deadline    Nanos // instant on the clock of Environment.Now at which the client gives up
+
+	ValueArriving bool  // a long write whose value the client still writes; WriteReceived follows
+	ExpectedWork  Nanos // expected processing time on a standard core; 0: not known
 }
 
 // LoadReport is the load report of a cache host, which is delayed and approximate. Values that are not reported are
