Keep a late call to discovery open beside the next one, the first usable answer counts

The same cause: a process that starts with no list at such a discovery never serves, and where every watch is answered over a second late no change is heard.

Cause: internal/discovery gave each call up after a fixed time (SnapshotResponse, ResponseGrace, Body) and made the same call again with the same time; what is slower than that was slower for ever. Excluded: that the address is not asked (a call every 3.0 s), that the answer is not believed (none is ever read). Where there was no list, a late call was besides told to the policy as a failed one and put off.

Change: a late call stays open while the next one is made on a new connection, at the same time as before; the first usable answer counts and the other calls are closed. Four at most are open; the two oldest are kept 30 s, doubled up to 2 min. Where calls load discovery, a further call for the whole list beside a late one waits 5 s instead of 3. An answer that comes while the next call is put off is applied.

Why it works: a lost call costs the same time as before, and a slow one is heard when it is answered.

--- a/internal/balancer/discovery_watch.go
+++ b/internal/balancer/discovery_watch.go
@@ -102,22 +102,22 @@
 
 // followDiscovery keeps the host list up to date. Where the policy subscribes by itself, it also decides when to retry. The exception is
 // a call that got no complete answer in time: it is repeated at once, because it has already waited long and may have missed changes
-// that must apply soon.
+// that must apply soon. An answer that comes late is applied whenever it comes, also while the next call is being put off.
 func (b *Balancer) followDiscovery(ctx context.Context, watch *discovery.Watch, subscribed bool) {
 	defer watch.Close()
 	backoff := b.discoveryTimeouts.FirstRetryDelay
+	var resume <-chan struct{} // nil: the next call is made at once
+	if !subscribed {
+		resume = b.subscribeRequested
+	}
 	for {
-		if !subscribed {
-			select {
-			case <-b.subscribeRequested:
-				subscribed = true
-			case <-ctx.Done():
-				return
-			}
-		}
-		list, err := watch.Next(ctx)
+		list, err := watch.Next(ctx, resume)
+		resume = nil
 		if err == nil {
 			backoff = b.discoveryTimeouts.FirstRetryDelay
+			if list.Waited > 0 {
+				b.log.Info().Float64("waited_ms", milliseconds(list.Waited)).Str("discovery", watch.Addr).Msg("late answer of discovery")
+			}
 			b.acceptHostList(ctx, list)
 			continue
 		}
@@ -125,24 +125,34 @@
 			return
 		}
 		b.log.Warn().Err(err).Str("discovery", watch.Addr).Msg("discovery")
-		if errors.Is(err, discovery.ErrRetryNow) {
-			continue
-		}
-		if b.deployment.PolicyConfig.MustSubscribe {
-			subscribed = false
-			b.callPolicy(func() { b.policy.ApplyList(policy.ListUnavailable, nil) })
-			continue
-		}
-		wait := jitter(backoff)
-		backoff = min(2*backoff, b.discoveryTimeouts.MaxRetryDelay)
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return
+		switch {
+		case errors.Is(err, discovery.ErrRetryNow):
+		case b.deployment.PolicyConfig.MustSubscribe:
+			b.requestListRetry()
+			resume = b.subscribeRequested
+		default:
+			resume = closedAfter(jitter(backoff))
+			backoff = min(2*backoff, b.discoveryTimeouts.MaxRetryDelay)
 		}
 	}
 }
 
+// requestListRetry lets the policy decide when to make the next call to discovery.
+func (b *Balancer) requestListRetry() {
+	select {
+	case <-b.subscribeRequested: // for an earlier call, whose answer came late but before the retry
+	default:
+	}
+	b.callPolicy(func() { b.policy.ApplyList(policy.ListUnavailable, nil) })
+}
+
+// closedAfter returns a channel that is closed after a delay.
+func closedAfter(delay time.Duration) <-chan struct{} {
+	elapsed := make(chan struct{})
+	time.AfterFunc(delay, func() { close(elapsed) })
+	return elapsed
+}
+
 // acceptHostList applies an answer of discovery, unless the watch has been stopped. An answer that is older than the
 // known list, or that has unreadable entries, is completed from the known list first.
 func (b *Balancer) acceptHostList(ctx context.Context, list discovery.List) {
--- a/internal/balancer/discovery_watch_test.go
+++ b/internal/balancer/discovery_watch_test.go
@@ -105,15 +105,21 @@
 
 // newFollowingBalancer returns a balancer that follows the host list of a fakeDiscovery and has received it.
 func newFollowingBalancer(t *testing.T, d *fakeDiscovery, mode string, grace time.Duration, seed uint64) *Balancer {
+	d.began, d.changed, d.done = time.Now(), make(chan struct{}), make(chan struct{})
+	b := startFollowing(d.dial, mode, grace, seed)
+	<-b.listSource.ready
+	return b
+}
+
+// startFollowing returns a balancer that begins to follow the host list of the discovery that dial reaches, and has none yet.
+func startFollowing(dial func(context.Context, string, string) (net.Conn, error), mode string, grace time.Duration, seed uint64) *Balancer {
 	deployed := &deployment.Deployment{Name: "n", Seed: seed, MaxSockets: 1024, MemoryMB: 192, DrainGrace: grace, ConnectTimeout: time.Second, IdleTimeout: time.Minute,
 		Zones: map[string]policy.Zone{"here": 0}, Kinds: map[string]policy.MachineKind{"cache": 0},
 		PolicyConfig: policy.Config{Balancers: 1, Products: make([]policy.ProductConfig, 1), MustSubscribe: mode == "asked", SubscribeInterval: 10 * policy.Second, OriginKind: -1}}
 	b := New(deployed, &operator.File{}, zerolog.Nop())
-	b.listSource.dial = d.dial
-	d.began, d.changed, d.done = time.Now(), make(chan struct{}), make(chan struct{})
+	b.listSource.dial = dial
 	b.restoreHostList(nil)
 	b.startWatch(!b.deployment.PolicyConfig.MustSubscribe)
-	<-b.listSource.ready
 	return b
 }
 
--- /dev/null
+++ b/internal/balancer/slow_discovery_test.go
@@ -0,0 +1,177 @@
+package balancer
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// answer sends an answer of a fakeDiscovery; false if the connection has been closed.
+func answer(to net.Conn, text string) bool {
+	_, err := io.WriteString(to, text)
+	return err == nil
+}
+
+// isWhole reports whether an answer contains the whole list.
+func isWhole(text string) bool { return strings.Contains(text, `"reset":true`) }
+
+// slowWhole answers each request for the whole list after a delay and other requests at once. The first requests are not answered.
+func slowWhole(delay time.Duration, unanswered int) func(int, net.Conn, string) bool {
+	return func(n int, to net.Conn, text string) bool {
+		if n <= unanswered {
+			return false
+		}
+		if isWhole(text) {
+			time.Sleep(delay)
+		}
+		return answer(to, text)
+	}
+}
+
+// moveTo reloads the configuration with the address of another discovery, which lists the host as leaving.
+func (b *Balancer) moveTo(respond func(int, net.Conn, string) bool) *fakeDiscovery {
+	moved := &fakeDiscovery{respond: respond, draining: true, began: time.Now(), changed: make(chan struct{}), done: make(chan struct{})}
+	b.listSource.mu.Lock()
+	b.listSource.dial = moved.dial
+	b.listSource.mu.Unlock()
+	to := *b.deployment
+	to.Discovery = "moved"
+	b.Reload(&to)
+	return moved
+}
+
+// endFollowing ends a balancer and its stand-ins, and waits for the answers that are still being held back.
+func endFollowing(b *Balancer, stands ...*fakeDiscovery) {
+	b.cancel()
+	b.hosts.Close()
+	for _, d := range stands {
+		close(d.done)
+	}
+	time.Sleep(time.Minute)
+}
+
+// TestSlowNewAddressHeard guards against giving up each call for the whole list after the same time: at a new address that takes longer
+// than that, a leaving host was never heard of.
+func TestSlowNewAddressHeard(t *testing.T) {
+	const grace, second = time.Second, time.Second
+	for name, row := range map[string]struct {
+		mode       string
+		delay      time.Duration // of each whole list
+		unanswered int           // requests that are never answered
+		knownAfter time.Duration // since the reload
+	}{
+		"pushed, 3.5 s":                      {"pushed", 3500 * time.Millisecond, 0, 4*second + grace*9/10},
+		"asked, 3.5 s":                       {"asked", 3500 * time.Millisecond, 0, 6 * second},
+		"asked, 5.5 s":                       {"asked", 5500 * time.Millisecond, 0, 6 * second},
+		"asked, 20 s":                        {"asked", 20 * second, 0, 20*second + grace},
+		"asked, one unanswered, then 3.5 s":  {"asked", 3500 * time.Millisecond, 1, 6*second + grace*9/10},
+		"asked, one unanswered, then 9 s":    {"asked", 9 * second, 1, 3*second + 9*second + grace},
+		"pushed, two unanswered, then 5 s":   {"pushed", 5 * second, 2, 6*second + 5*second + grace},
+		"asked, four unanswered, then 9 s":   {"asked", 9 * second, 4, time.Minute},
+		"pushed, four unanswered, then 20 s": {"pushed", 20 * second, 4, 2 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDiscovery{respond: slowWhole(0, 0)}
+				b := newFollowingBalancer(t, d, row.mode, grace, 1)
+				moved := b.moveTo(slowWhole(row.delay, row.unanswered))
+				defer endFollowing(b, d, moved)
+				time.Sleep(row.knownAfter)
+				synctest.Wait()
+				if b.avoidedHosts() != 1 {
+					t.Errorf("host not avoided %v after the reload; requests at %v", row.knownAfter, moved.requestTimes)
+				}
+			})
+		})
+	}
+}
+
+// TestSlowFirstListHeard guards against a start with no list at a discovery that takes longer than a call's timeout: it never served.
+func TestSlowFirstListHeard(t *testing.T) {
+	for _, mode := range []string{"pushed", "asked"} {
+		for _, delay := range []time.Duration{3500 * time.Millisecond, 7 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprint(mode, ", ", delay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := &fakeDiscovery{respond: slowWhole(delay, 0), began: time.Now(), changed: make(chan struct{}), done: make(chan struct{})}
+					b := startFollowing(d.dial, mode, time.Second, 1)
+					defer endFollowing(b, d)
+					select {
+					case <-b.listSource.ready:
+					case <-time.After(delay + 100*time.Millisecond):
+						t.Errorf("no list %v after the start; requests at %v", delay, d.requestTimes)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSlowWatchHeard guards against giving up each watch after the same time: where every answer to a watch came later than that, no
+// change was ever heard of.
+func TestSlowWatchHeard(t *testing.T) {
+	const delay, grace = 3 * time.Second, time.Second
+	for _, mode := range []string{"pushed", "asked"} {
+		t.Run(mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDiscovery{respond: func(n int, to net.Conn, text string) bool {
+					if !isWhole(text) {
+						time.Sleep(delay)
+					}
+					return answer(to, text)
+				}}
+				b := newFollowingBalancer(t, d, mode, grace, 1)
+				defer endFollowing(b, d)
+				time.Sleep(10 * time.Second)
+				d.change(func() { d.draining = true })
+				time.Sleep(6*time.Second + grace*9/10)
+				synctest.Wait()
+				if b.avoidedHosts() != 1 {
+					t.Errorf("host not avoided; requests at %v", d.requestTimes)
+				}
+			})
+		})
+	}
+}
+
+// TestOpenCallsBounded checks how many calls one balancer has open at a discovery that never answers, and makes there, and that none is
+// left open after a move to another address or at the end.
+func TestOpenCallsBounded(t *testing.T) {
+	for _, mode := range []string{"pushed", "asked"} {
+		t.Run(mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDiscovery{respond: slowWhole(0, 0)}
+				b := newFollowingBalancer(t, d, mode, time.Second, 1)
+				var open atomic.Int64
+				moved := b.moveTo(func(n int, to net.Conn, text string) bool {
+					open.Add(1)
+					go func() {
+						io.Copy(io.Discard, to) // until the balancer closes it
+						open.Add(-1)
+					}()
+					return false
+				})
+				defer endFollowing(b, d, moved)
+				for second := range 10 * 60 {
+					time.Sleep(time.Second)
+					synctest.Wait()
+					moved.mu.Lock()
+					made := len(moved.requestTimes)
+					moved.mu.Unlock()
+					if made > second/3+2 || open.Load() > 4 {
+						t.Fatalf("%d calls in %d s, %d open (at most 4)", made, second+1, open.Load())
+					}
+				}
+				b.cancel()
+				synctest.Wait()
+				if open.Load() != 0 {
+					t.Errorf("%d calls open after the end", open.Load())
+				}
+			})
+		})
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -57,7 +57,7 @@
 				w.ResumeFrom(row.from)
 			}
 			for range row.answers {
-				w.Next(context.Background())
+				w.Next(context.Background(), nil)
 			}
 			if got := strings.Join(asked, " "); got != row.asked {
 				t.Errorf("requested %s, expected %s", got, row.asked)
--- a/internal/discovery/timeouts.go
+++ b/internal/discovery/timeouts.go
@@ -7,18 +7,19 @@
 // watch is open, unresponsive or absent.
 const maxNotificationDelay = 6 * time.Second
 
-// Timeouts holds the timeouts and delays of a Watch. Together they have to fit one budget: a watch that stops responding must be
-// detected and polled again, and the response be applied, before the missed change has to take effect. See
-// docs/notes/drain.md.
+// Timeouts holds the timeouts and delays of a Watch. A call that exceeds a timeout is late: it stays open, and another call is made beside
+// it. Together they have to fit one budget: a watch that stops responding must be detected and polled again, and the response be
+// applied, before the missed change has to take effect. See docs/notes/drain.md.
 type Timeouts struct {
-	LongPoll         time.Duration // how long one call may wait for changes; drawn from 7/8 of it up, so that balancers do not poll in step
-	ResponseGrace    time.Duration // beyond LongPoll, until a response begins; after that the watch counts as unresponsive
-	SnapshotResponse time.Duration // until the response to a request for a snapshot begins
-	Read             time.Duration // of one read, once a response has begun
-	Body             time.Duration // of the whole response, once it has begun
-	Connect          time.Duration // to open the connection
-	FirstRetryDelay  time.Duration // delay after a failed call; doubled with each further failure, up to MaxRetryDelay
-	MaxRetryDelay    time.Duration // upper bound of that delay
+	LongPoll                 time.Duration // how long one call may wait for changes; drawn from 7/8 of it up, so that balancers do not poll in step
+	ResponseGrace            time.Duration // beyond LongPoll, until a response begins; after that the watch counts as unresponsive
+	SnapshotResponse         time.Duration // until the response to a request for a snapshot begins
+	RepeatedSnapshotResponse time.Duration // the same for a request made beside one that is late
+	Read                     time.Duration // of one read, once a response has begun
+	Body                     time.Duration // of the whole response, once it has begun
+	Connect                  time.Duration // to open the connection
+	FirstRetryDelay          time.Duration // delay after a failed call; doubled with each further failure, up to MaxRetryDelay
+	MaxRetryDelay            time.Duration // upper bound of that delay
 }
 
 const (
@@ -33,10 +34,12 @@
 	t := Timeouts{ResponseGrace: maxNotificationDelay / 6, SnapshotResponse: maxNotificationDelay / 2, Read: maxNotificationDelay / 4, Body: maxNotificationDelay * 5 / 6}
 	if pushed { // two watches in a row may get no response; the grace is left for the third
 		t.LongPoll = maxNotificationDelay / 3
+		t.RepeatedSnapshotResponse = t.SnapshotResponse
 		t.Connect = grace / 4
 		t.MaxRetryDelay = max(minDelay, min(grace/4, maxRetryDelay))
 	} else { // each call loads discovery, so poll as rarely as leaves 1/6 and the grace for the call after an unresponsive one
 		t.LongPoll = maxNotificationDelay * 2 / 3
+		t.RepeatedSnapshotResponse = maxNotificationDelay * 5 / 6
 		t.Connect = (maxNotificationDelay/6 + grace) / 4
 		t.MaxRetryDelay = maxRetryDelay
 	}
