Bound the progress of an answer from discovery in place of its whole time

What callers saw: where discovery writes a list line by line, 2,800 lines at 400 a second, nothing was ever heard and a leaving host kept its share.

Cause: Timeouts.Body ended the whole answer after 5 s however steadily it came (bodyDeadline of timedConn). With late calls kept open the list was heard after 7 s, but a second call was made beside it after 5 s, and a list of 40 s was given up after the 30 s for which the oldest calls are kept.

Change: a call is late when nothing has come for 1.5 s, or less than 4 KiB in 5 s; a call whose answer arrives is the last to be given up.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -26,7 +26,7 @@
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.call.progress.received(time.Now())
+		c.call.progress.received(time.Now(), n)
 	}
 	return n, err
 }
@@ -62,12 +62,18 @@
 	responseTimeout time.Duration // from the request until the response begins
 	timeouts        Timeouts
 
-	mu      sync.Mutex
-	stage   callStage
-	lateAt  time.Time
-	firstAt time.Time // when the first byte of the response arrived
+	mu        sync.Mutex
+	stage     callStage
+	lateAt    time.Time
+	firstAt   time.Time // when the first byte of the response arrived
+	lastAt    time.Time // when the last byte so far arrived
+	mark      time.Time // when the first byte arrived, or the last minProgressBytes were complete
+	sinceMark int       // bytes that have arrived since then
 }
 
+// minProgressBytes is how much of a response must arrive within Timeouts.Body; the text of some 25 hosts.
+const minProgressBytes = 4 << 10
+
 // callStage is how far a call has come.
 type callStage int
 
@@ -94,19 +100,30 @@
 	p.stage, p.lateAt = waiting, now.Add(p.responseTimeout)
 }
 
-// received notes that a part of the response has arrived.
-func (p *progress) received(now time.Time) {
+// received notes that n bytes of the response have arrived.
+func (p *progress) received(now time.Time, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stage != receiving {
-		p.stage, p.firstAt = receiving, now
+		p.stage, p.firstAt, p.mark = receiving, now, now
+	}
+	p.lastAt = now
+	if p.sinceMark += n; p.sinceMark >= minProgressBytes {
+		p.mark, p.sinceMark = now, 0
 	}
 	p.lateAt = now.Add(p.timeouts.Read)
-	if end := p.firstAt.Add(p.timeouts.Body); end.Before(p.lateAt) {
+	if end := p.mark.Add(p.timeouts.Body); end.Before(p.lateAt) {
 		p.lateAt = end
 	}
 }
 
+// isReceiving reports whether a response is arriving, however slowly.
+func (p *progress) isReceiving(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage == receiving && now.Sub(p.lastAt) < p.timeouts.Read
+}
+
 // state returns how far the call has come and from when on it is late.
 func (p *progress) state() (callStage, time.Time) {
 	p.mu.Lock()
--- a/internal/discovery/timeouts.go
+++ b/internal/discovery/timeouts.go
@@ -16,7 +16,7 @@
 	SnapshotResponse         time.Duration // until the response to a request for a snapshot begins
 	RepeatedSnapshotResponse time.Duration // the same for a request made beside one that is late
 	Read                     time.Duration // of one read, once a response has begun
-	Body                     time.Duration // of the whole response, once it has begun
+	Body                     time.Duration // until the next minProgressBytes of a response that has begun, or its end
 	Connect                  time.Duration // to open the connection
 	FirstRetryDelay          time.Duration // delay after a failed call; doubled with each further failure, up to MaxRetryDelay
 	MaxRetryDelay            time.Duration // upper bound of that delay
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -157,22 +157,36 @@
 	go w.carryOut(ctx, c, conn)
 }
 
-// makeRoom gives up a call if there are as many as may be open. The oldest ones have the best prospect of a slow response, but may have
-// been lost with their connections, so they are kept for a limited time only.
+// makeRoom gives up a call if there are as many as may be open.
 func (w *Watch) makeRoom(now time.Time) {
 	if len(w.open) < maxOpenCalls {
 		return
 	}
 	w.patience = max(w.patience, firstPatience)
-	victim := keptCalls
-	if now.Sub(w.open[0].startedAt) >= w.patience {
-		victim = 0
+	victim := w.leastPromising(now)
+	if victim == 0 {
 		w.patience = min(2*w.patience, maxPatience)
 	}
 	w.open[victim].cancel()
 	w.open = slices.Delete(w.open, victim, victim+1)
 }
 
+// leastPromising returns the position of the call to give up. The oldest calls have the best prospect of a slow response, but may have
+// been lost with their connections, so they are kept for a limited time only. A call whose response is arriving is not given up
+// unless that holds for all others too.
+func (w *Watch) leastPromising(now time.Time) int {
+	first := keptCalls
+	if now.Sub(w.open[0].startedAt) >= w.patience {
+		first = 0
+	}
+	for i := first; i < len(w.open); i++ {
+		if !w.open[i].progress.isReceiving(now) {
+			return i
+		}
+	}
+	return keptCalls
+}
+
 // accept evaluates a response. It reports whether Next is to return, with the list or with an error. An earlier call that fails while a
 // later one is under way or is still to be made (not waiting) changes nothing.
 func (w *Watch) accept(r response, waiting bool) (l List, err error, done bool) {
