Avoid hosts that a list names as leaving before the whole list has arrived

What callers saw: discovery writes a list line by line, 2,800 lines at 400 a second; a host that its first line names as leaving gets requests until the last line has come, 7 s later, and for ever where each answer stops or is cut off.

Cause: an answer was kept whole and parsed at its end.

Change: httpwire.Open gives a body as a stream (chunks by the standard library), NameIndexes.Decode reads it as it arrives, and from 0.25 s after the first byte Watch.Next returns partial lists with the hosts that leave; known ones are avoided at once, and the newer process of an upgrade is told. An older generation, or one not known yet, announces nothing. Besides, an earlier call that trickles no longer puts off the next one: only the latest call, or one that brings 4 KiB in 5 s, counts as under way, and a retry that was put off is always made where a list is known.

--- a/internal/balancer/discovery_watch.go
+++ b/internal/balancer/discovery_watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"streamrail/internal/deployment"
@@ -112,6 +113,10 @@
 	}
 	for {
 		list, err := watch.Next(ctx, resume)
+		if list.Partial {
+			b.acceptLeavingHosts(ctx, list)
+			continue
+		}
 		resume = nil
 		if err == nil {
 			backoff = b.discoveryTimeouts.FirstRetryDelay
@@ -153,6 +158,26 @@
 	return elapsed
 }
 
+// acceptLeavingHosts applies the part of an answer that names hosts that leave, unless the watch has been stopped. Only hosts that are
+// known and not yet known to leave are of interest: the rest of the answer is not known yet.
+func (b *Balancer) acceptLeavingHosts(ctx context.Context, list discovery.List) {
+	b.listSource.mu.Lock()
+	defer b.listSource.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	leaving := slices.DeleteFunc(list.Hosts, func(h discovery.Host) bool {
+		known, isKnown := b.listSource.hosts[h.HostID]
+		return !isKnown || known.Condition >= h.Condition
+	})
+	if len(leaving) == 0 {
+		return
+	}
+	list = discovery.List{Generation: b.listSource.generation, Hosts: leaving, ReceivedAt: list.ReceivedAt}
+	b.applyHostList(policy.ListUpdate, list)
+	b.listSource.forwarder.forward(b.listSource.addr, list)
+}
+
 // acceptHostList applies an answer of discovery, unless the watch has been stopped. An answer that is older than the
 // known list, or that has unreadable entries, is completed from the known list first.
 func (b *Balancer) acceptHostList(ctx context.Context, list discovery.List) {
--- a/internal/balancer/slow_discovery_test.go
+++ b/internal/balancer/slow_discovery_test.go
@@ -268,3 +268,40 @@
 		}
 	}
 }
+
+// TestLeavingHostOfUnfinishedList guards against waiting for the end of a long list: its lines say already which hosts leave, and the
+// end may come later than the time by which that must be known, or never.
+func TestLeavingHostOfUnfinishedList(t *testing.T) {
+	for _, mode := range []string{"pushed", "asked"} {
+		for name, respond := range map[string]func(int, net.Conn, string) bool{
+			"slow": lineByLine(4000, 400),
+			"stops": func(n int, to net.Conn, text string) bool {
+				answer(to, text[:len(text)-2])
+				return false
+			},
+			"cut off": func(n int, to net.Conn, text string) bool {
+				if n == 1 {
+					answer(to, text[:len(text)-2])
+					time.Sleep(time.Second)
+				}
+				return false
+			},
+		} {
+			t.Run(mode+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					d := &fakeDiscovery{respond: slowWhole(0, 0)}
+					b := newFollowingBalancer(t, d, mode, time.Second, 1)
+					moved := b.moveTo(respond)
+					defer endFollowing(b, d, moved)
+					for _, at := range []time.Duration{300 * time.Millisecond, 5 * time.Second} {
+						time.Sleep(time.Until(moved.began.Add(at)))
+						synctest.Wait()
+						if b.avoidedHosts() != 1 {
+							t.Errorf("host not avoided %v after the reload; requests at %v", at, moved.requestTimes)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -17,18 +18,28 @@
 // connection is a connection to discovery, which carries one call at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
-	calls  int   // calls written to it so far
-	call   *call // that is being carried out
+	reader      *bufio.Reader
+	calls       int   // calls written to it so far
+	call        *call // that is being carried out
+	hasDeadline bool  // of reads
 }
 
-// Read reads from the network and notes the progress of the call.
+// Read reads from the network, notes the progress of the call and announces leaving hosts when they are due.
 func (c *connection) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.call.progress.received(time.Now(), n)
+	for {
+		dueAt := c.call.leaving.announce(time.Now())
+		if c.hasDeadline || !dueAt.IsZero() {
+			c.SetReadDeadline(dueAt)
+			c.hasDeadline = !dueAt.IsZero()
+		}
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.call.progress.received(time.Now(), n)
+		}
+		if n > 0 || !c.hasDeadline || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 // call is one request to discovery: for a snapshot, or for the changes since a generation. A goroutine carries it out. A call that is
@@ -40,10 +51,11 @@
 	startedAt time.Time
 	cancel    context.CancelFunc // gives the call up and closes its connection
 	progress  progress
+	leaving   leavingHosts
 	late      bool // Next has reported that the response is late
 }
 
-// response is what became of a call.
+// response is what became of a call, or a part of its response if the list is partial.
 type response struct {
 	call *call
 	conn *connection // on which the next call can be made; nil if there is none
@@ -69,6 +81,7 @@
 	lastAt    time.Time // when the last byte so far arrived
 	mark      time.Time // when the first byte arrived, or the last minProgressBytes were complete
 	sinceMark int       // bytes that have arrived since then
+	steady    bool      // minProgressBytes have been complete once
 }
 
 // minProgressBytes is how much of a response must arrive within Timeouts.Body; the text of some 25 hosts.
@@ -84,7 +97,7 @@
 )
 
 func (s callStage) String() string {
-	return [...]string{"connecting", "no response", "the response has stopped"}[s]
+	return [...]string{"not connected", "no response", "the response is not complete"}[s]
 }
 
 func (p *progress) start(now time.Time) {
@@ -109,7 +122,7 @@
 	}
 	p.lastAt = now
 	if p.sinceMark += n; p.sinceMark >= minProgressBytes {
-		p.mark, p.sinceMark = now, 0
+		p.mark, p.sinceMark, p.steady = now, 0, true
 	}
 	p.lateAt = now.Add(p.timeouts.Read)
 	if end := p.mark.Add(p.timeouts.Body); end.Before(p.lateAt) {
@@ -124,11 +137,18 @@
 	return p.stage == receiving && now.Sub(p.lastAt) < p.timeouts.Read
 }
 
-// state returns how far the call has come and from when on it is late.
-func (p *progress) state() (callStage, time.Time) {
+// currentStage returns how far the call has come.
+func (p *progress) currentStage() callStage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage
+}
+
+// lateness returns the time from which on the call is late, and whether its response arrives steadily until then.
+func (p *progress) lateness() (lateAt time.Time, steady bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stage, p.lateAt
+	return p.lateAt, p.steady
 }
 
 // firstByteAt returns when the first byte of the response arrived.
@@ -141,14 +161,21 @@
 // carryOut makes a call, on an open connection if one is given, and delivers the response unless the call has been given up.
 func (w *Watch) carryOut(ctx context.Context, c *call, conn *connection) {
 	defer c.cancel()
+	c.leaving.deliver = func(l List) { w.deliver(ctx, response{call: c, list: l}) }
 	r := response{call: c}
 	r.list, r.conn, r.err = w.exchange(ctx, c, conn)
+	if !w.deliver(ctx, r) && r.conn != nil {
+		r.conn.Close()
+	}
+}
+
+// deliver passes a response on to Next. It reports false if the call has been given up.
+func (w *Watch) deliver(ctx context.Context, r response) bool {
 	select {
 	case w.responses <- r:
+		return true
 	case <-ctx.Done():
-		if r.conn != nil {
-			r.conn.Close()
-		}
+		return false
 	}
 }
 
@@ -187,7 +214,7 @@
 	if _, err = conn.Write(httpwire.AppendRequest(nil, "GET", c.target, w.Addr, -1)); err != nil {
 		return l, true, err
 	}
-	response, err := httpwire.Read(conn.reader, maxListBytes, maxListBytes, func(int) bool { return true })
+	response, body, err := httpwire.Open(conn.reader, maxListBytes)
 	if err != nil {
 		return l, true, err
 	}
@@ -197,7 +224,12 @@
 	if response.Status != 200 {
 		return l, true, fmt.Errorf("status %d", response.Status)
 	}
-	if l, err = w.Names.Parse(response.Body); err != nil {
+	c.leaving.firstByteAt = c.progress.firstByteAt()
+	l, err = w.Names.Decode(body, c.leaving.add)
+	switch {
+	case body.Err() != nil:
+		return l, true, body.Err()
+	case err != nil:
 		return l, true, unusableError{err}
 	}
 	l.ReceivedAt = c.progress.firstByteAt()
--- a/internal/discovery/codec.go
+++ b/internal/discovery/codec.go
@@ -16,12 +16,12 @@
 type NameIndexes struct {
 	Zones map[string]policy.Zone
 	Kinds map[string]policy.MachineKind
-	// Yield is called by Parse after every entriesPerYield entries, so that parsing a long list does not block other work.
+	// Yield is called by Decode after every entriesPerYield entries, so that parsing a long list does not block other work.
 	// It may be nil.
 	Yield func()
 }
 
-// entriesPerYield is how many entries Parse reads between two calls of Yield; they take about 0.25 ms.
+// entriesPerYield is how many entries Decode reads between two calls of Yield; they take about 0.25 ms.
 const entriesPerYield = 32
 
 var conditions = map[string]policy.Condition{
@@ -46,11 +46,17 @@
 	StartedAtMs int64    `json:"startedAtMs"`
 }
 
-// Parse reads the body of a response. Entries that cannot be used are returned in List.Unusable instead of failing the whole
+// Parse reads the body of a response, as Decode does.
+func (n NameIndexes) Parse(text []byte) (List, error) {
+	return n.Decode(bytes.NewReader(text), func(int64, Host) {})
+}
+
+// Decode reads the body of a response up to its end. It calls added with each host as soon as its entry is read, and with the generation
+// of the list, 0 if that has not been read yet. Entries that cannot be used are returned in List.Unusable instead of failing the whole
 // response: otherwise this balancer would keep sending to the other hosts that are leaving for as long as discovery
 // returned the faulty entry.
-func (n NameIndexes) Parse(text []byte) (l List, err error) {
-	d := json.NewDecoder(bytes.NewReader(text))
+func (n NameIndexes) Decode(body io.Reader, added func(generation int64, h Host)) (l List, err error) {
+	d := json.NewDecoder(body)
 	first, err := d.Token()
 	if err != nil {
 		return l, err
@@ -58,7 +64,7 @@
 	switch first {
 	case nil: // null
 	case json.Delim('{'):
-		if err = n.parseFields(d, &l); err != nil {
+		if err = n.parseFields(d, &l, added); err != nil {
 			return l, err
 		}
 	default:
@@ -71,7 +77,7 @@
 }
 
 // parseFields reads the fields of the response object up to its closing brace.
-func (n NameIndexes) parseFields(d *json.Decoder, l *List) error {
+func (n NameIndexes) parseFields(d *json.Decoder, l *List, added func(int64, Host)) error {
 	for d.More() {
 		token, err := d.Token()
 		if err != nil {
@@ -84,7 +90,7 @@
 		case strings.EqualFold(name, "reset"):
 			err = d.Decode(&l.Snapshot)
 		case strings.EqualFold(name, "instances"):
-			err = n.parseInstances(d, l)
+			err = n.parseInstances(d, l, added)
 		default:
 			err = d.Decode(new(json.RawMessage))
 		}
@@ -97,7 +103,7 @@
 }
 
 // parseInstances reads the array of entries one entry at a time.
-func (n NameIndexes) parseInstances(d *json.Decoder, l *List) error {
+func (n NameIndexes) parseInstances(d *json.Decoder, l *List, added func(int64, Host)) error {
 	l.Hosts, l.Unusable = nil, nil
 	first, err := d.Token()
 	if err != nil || first == nil {
@@ -117,6 +123,7 @@
 			l.Unusable = append(l.Unusable, UnusableEntry{h.HostID, h.Condition, err})
 		} else {
 			l.Hosts = append(l.Hosts, h)
+			added(l.Generation, h)
 		}
 		if count%entriesPerYield == 0 && n.Yield != nil {
 			n.Yield()
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -12,10 +12,12 @@
 	Addr string
 }
 
-// List is one response from discovery: a snapshot of all hosts, or the changes since an earlier generation.
+// List is one response from discovery: a snapshot of all hosts, or the changes since an earlier generation. If it is partial, it contains
+// only hosts that are leaving or gone, from a response that is still arriving; it does not replace that response.
 type List struct {
 	Generation int64
 	Snapshot   bool // a snapshot, not changes
+	Partial    bool
 	Hosts      []Host
 	Unusable   []UnusableEntry
 	ReceivedAt time.Time     // when its first byte arrived, from which on the list applies; zero if unknown
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -51,7 +51,7 @@
 
 // Next makes a call and waits for the next response, which may contain no hosts. If resume is not nil, the call is made only when it
 // delivers a value or is closed; until then only earlier calls that are still open are waited for. The context applies to the call until
-// there is a response, also after Next has returned an error.
+// there is a response, also after Next has returned an error. A partial list ends neither the call nor the time until resume.
 //
 // After an unusable response the next call requests a snapshot. After a call that failed it does not: the known list is still valid,
 // and if all balancers kept requesting snapshots, a discovery service that was overloaded for a moment would stay overloaded.
@@ -59,13 +59,13 @@
 	if w.responses == nil {
 		w.responses = make(chan response)
 	}
-	if resume == nil {
+	if resume == nil && !w.expectsResponse() {
 		w.startCall(ctx)
 	}
 	for {
 		var late <-chan time.Time
 		if resume == nil {
-			late = time.After(time.Until(w.latestLateness()))
+			late = time.After(time.Until(w.lateAt()))
 		}
 		select {
 		case r := <-w.responses:
@@ -73,12 +73,14 @@
 				return list, err
 			}
 		case <-late:
-			if !time.Now().Before(w.latestLateness()) {
+			if !w.expectsResponse() {
 				return List{}, w.lateError()
 			}
 		case <-resume:
 			resume = nil
-			w.startCall(ctx)
+			if w.HasList || !w.expectsResponse() { // with a list, changes may have to take effect soon
+				w.startCall(ctx)
+			}
 		case <-ctx.Done():
 			return List{}, ctx.Err()
 		}
@@ -105,24 +107,28 @@
 	w.open = nil
 }
 
-// latestLateness returns the time from which on all open calls are late; the zero time if there is none.
-func (w *Watch) latestLateness() (latest time.Time) {
-	for _, c := range w.open {
-		if _, lateAt := c.progress.state(); lateAt.After(latest) {
-			latest = lateAt
+// lateAt returns the time from which on a response is late: that of the latest call, or that of an earlier one whose response arrives
+// steadily. It is the zero time if no call is open.
+func (w *Watch) lateAt() (lateAt time.Time) {
+	for i, c := range w.open {
+		if at, steady := c.progress.lateness(); (steady || i == len(w.open)-1) && at.After(lateAt) {
+			lateAt = at
 		}
 	}
-	return latest
+	return lateAt
 }
 
+// expectsResponse reports whether a call is open whose response is not late.
+func (w *Watch) expectsResponse() bool { return w.lateAt().After(time.Now()) }
+
 // lateError marks all open calls as late and returns the error that says so.
 func (w *Watch) lateError() error {
 	for _, c := range w.open {
 		c.late = true
 	}
 	latest := w.open[len(w.open)-1]
-	stage, _ := latest.progress.state()
-	err := fmt.Errorf("%v for %v, %d calls open", stage, time.Since(latest.startedAt).Round(time.Millisecond), len(w.open))
+	stage := latest.progress.currentStage()
+	err := fmt.Errorf("late after %v: %v, calls open: %d", time.Since(latest.startedAt).Round(time.Millisecond), stage, len(w.open))
 	switch {
 	case !w.HasList || stage == connecting:
 		return err
@@ -132,13 +138,11 @@
 	return fmt.Errorf("the watch has fallen silent, %w: %w", ErrRetryNow, err)
 }
 
-// startCall makes a call, unless one is open that is not late yet.
+// startCall makes a call.
 func (w *Watch) startCall(ctx context.Context) {
 	now := time.Now()
-	if w.latestLateness().After(now) {
-		return
-	}
 	c := &call{target: "/api/targets", watching: w.watching, known: w.generation, startedAt: now}
+	c.leaving.enabled, c.leaving.known = w.HasList, w.generation
 	c.progress.timeouts, c.progress.responseTimeout = w.Timeouts, w.Timeouts.SnapshotResponse
 	if len(w.open) > 0 {
 		c.progress.responseTimeout = w.Timeouts.RepeatedSnapshotResponse
@@ -197,6 +201,9 @@
 		}
 		return l, nil, false
 	}
+	if r.list.Partial {
+		return r.list, nil, true
+	}
 	w.open = slices.Delete(w.open, position, position+1)
 	if r.err != nil {
 		return w.acceptFailure(r.err, waiting)
@@ -224,7 +231,7 @@
 		retryNow, w.watching, w.lastUnusable = !w.lastUnusable, false, true
 	case errors.As(err, &staleError{}): // the same call on a new connection tells
 		retryNow, w.lastUnusable = !w.lastUnusable, true
-	case !waiting || w.latestLateness().After(time.Now()):
+	case !waiting || w.expectsResponse():
 		return List{}, nil, false
 	}
 	if w.HasList && retryNow {
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -76,39 +76,47 @@
 // returns ErrTooLarge if reserve refuses them. If a response with status 200 has a Content-Length above maxBuffered, its body
 // is left for the caller to read.
 func Read(in *bufio.Reader, maxBytes, maxBuffered int, reserve func(bytes int) bool) (r Response, err error) {
+	var chunked bool
+	length := -1
+	if r, length, chunked, err = readFinalHead(in); err != nil {
+		return r, err
+	}
+	switch {
+	case r.Status == 204 || r.Status == 304:
+	case chunked:
+		r.Body, err = readChunks(&bodyReader{in: in, maxBytes: maxBytes, reserve: reserve})
+	case r.Status == 200 && length > maxBuffered && length <= maxBytes:
+		r.UnreadLength = length
+	case length > maxBytes || length > 0 && !reserve(length):
+		return r, ErrTooLarge
+	case length >= 0:
+		r.Body = make([]byte, length)
+		_, err = io.ReadFull(in, r.Body)
+	default: // the body ends with the connection
+		r.Close = true
+		body := &bodyReader{in: in, maxBytes: maxBytes, reserve: reserve}
+		if err = body.readToEnd(); err == nil {
+			r.Body, err = body.join()
+		}
+	}
+	return r, err
+}
+
+// readFinalHead reads the head of the final response, passing over interim ones.
+func readFinalHead(in *bufio.Reader) (r Response, length int, chunked bool, err error) {
 	for range maxInterimResponses + 1 {
-		var chunked bool
-		length := -1
 		r, length, chunked, err = readHead(in)
-		if err != nil {
-			return r, err
-		}
-		if r.Status/100 == 1 {
-			continue // an interim response; the final one follows
-		}
 		switch {
+		case err != nil:
+			return r, length, chunked, err
+		case r.Status/100 == 1:
 		case chunked && length >= 0: // two ways of framing allow request smuggling
-			return r, ErrMalformed
-		case r.Status == 204 || r.Status == 304:
-		case chunked:
-			r.Body, err = readChunks(&bodyReader{in: in, maxBytes: maxBytes, reserve: reserve})
-		case r.Status == 200 && length > maxBuffered && length <= maxBytes:
-			r.UnreadLength = length
-		case length > maxBytes || length > 0 && !reserve(length):
-			return r, ErrTooLarge
-		case length >= 0:
-			r.Body = make([]byte, length)
-			_, err = io.ReadFull(in, r.Body)
-		default: // the body ends with the connection
-			r.Close = true
-			body := &bodyReader{in: in, maxBytes: maxBytes, reserve: reserve}
-			if err = body.readToEnd(); err == nil {
-				r.Body, err = body.join()
-			}
+			return r, length, chunked, ErrMalformed
+		default:
+			return r, length, chunked, nil
 		}
-		return r, err
 	}
-	return r, ErrMalformed
+	return r, length, chunked, ErrMalformed
 }
 
 // readLine reads one line and returns it without its line end. The result is valid until the next read.
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -39,10 +39,48 @@
 		{strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmade", "made", 200, nil},
 		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100), "", 102, ErrMalformed},
 	} {
-		r, err := Read(bufio.NewReader(strings.NewReader(row.in)), 4096, 4096, unlimited)
+		in := bufio.NewReader(strings.NewReader(row.in))
+		r, err := Read(in, 4096, 4096, unlimited)
 		if !errors.Is(err, row.err) || r.Status != row.status || err == nil && string(r.Body) != row.body {
 			t.Errorf("%.60q: %d %q %v", row.in, r.Status, r.Body, err)
 		}
+		rest, _ := io.ReadAll(in)
+		in.Reset(strings.NewReader(row.in))
+		r, text, err := readStream(in)
+		if (err == nil) != (row.err == nil) || r.Status != row.status || err == nil && text != row.body {
+			t.Errorf("%.60q as a stream: %d %q %v", row.in, r.Status, text, err)
+		}
+		if streamRest, _ := io.ReadAll(in); err == nil && string(streamRest) != string(rest) {
+			t.Errorf("%.60q as a stream: left %q, expected %q", row.in, streamRest, rest)
+		}
+	}
+}
+
+// readStream reads a response as a stream.
+func readStream(in *bufio.Reader) (Response, string, error) {
+	r, body, err := Open(in, 4096)
+	if err != nil {
+		return r, "", err
+	}
+	text, err := io.ReadAll(body)
+	return r, string(text), err
+}
+
+// TestCutStream checks that a body that ends too early is an error of the stream, not its end.
+func TestCutStream(t *testing.T) {
+	for _, in := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nmade",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nmade",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmade\r\n0\r\n",
+	} {
+		_, body, err := Open(bufio.NewReader(strings.NewReader(in)), 4096)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(body); err == nil || body.Err() == nil {
+			t.Errorf("%q: %q, %v, %v", in, text, err, body.Err())
+		}
 	}
 }
 
