Hand over the discovery address that the list came from, not the one being asked

What callers saw: the older process of an upgrade has got a new configuration whose discovery has not answered yet (the longer, the slower it is). It ends, and the newer process asks the new discovery for changes since the old one's generation; a host that leaves there since before that number gets requests for ever.

Cause: handOver named listSource.addr, the address being asked, as the source of a list that came from the address before.

Change: listSource.listedBy holds where list and generation come from; it is set with each accepted list and handed over.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -444,6 +444,31 @@
 	}
 }
 
+// Guards against a newer process that takes the generation of one discovery service for that of another: the older process has been told of
+// another one, which has not answered yet.
+func TestUpgradeBeforeNewDiscoveryAnswers(t *testing.T) {
+	before, after := newDiscoveryServer(t), newSlowDiscovery(t, 3*time.Second, 0)
+	addr := newHost(t, "h", answerHit).addr
+	before.setHost("h", addr, "cache", "active")
+	before.setHost("h", addr, "cache", "active")
+	after.setHost("h", addr, "cache", "leaving")
+	for range 5 { // what has changed there since the generation of before does not name h
+		after.setHost("other", addr, "cache", "active")
+	}
+	dir, config := shortDir(t), deploymentConfig(before, freeAddr(t), map[string]any{"discovery": "subscribe"})
+	older, _ := launchReady(t, config, dir)
+	before.waitForWatch(t)
+	config["discovery"] = serverAddr(after.Server)
+	older.reload(t, config, "configuration reloaded")
+	_, newerAddr := launchReady(t, config, dir)
+	older.Process.Kill()
+	began := time.Now()
+	waitUntil(t, "the host is avoided", func() bool { return metric(t, newerAddr, "app_cluster_unhealthy") == 1 })
+	if took := time.Since(began); took > after.delay+maxUpgradeNewsDelay {
+		t.Errorf("the host is avoided only %v after the newer process was ready", took)
+	}
+}
+
 // Guards against two processes of an upgrade that part because one of them stands still during an order: once it goes on, both obey it
 // and later orders.
 func TestOrderWhileOneStandsStill(t *testing.T) {
--- a/internal/balancer/discovery_watch.go
+++ b/internal/balancer/discovery_watch.go
@@ -36,7 +36,11 @@
 	if len(list.Hosts) == 0 {
 		return
 	}
-	otherService := handedOver != nil && handedOver.ListAddr != "" && handedOver.ListAddr != b.listSource.addr
+	b.listSource.listedBy = b.listSource.addr
+	if handedOver != nil {
+		b.listSource.listedBy = handedOver.ListAddr
+	}
+	otherService := b.listSource.listAddr() != b.listSource.addr
 	if b.deployment.PolicyConfig.MustSubscribe && !otherService { // each call loads discovery, so ask only for what has changed since
 		b.listSource.resumeFrom = &list.Generation
 	}
@@ -114,7 +118,7 @@
 	for {
 		list, err := watch.Next(ctx, resume)
 		if list.Partial {
-			b.acceptLeavingHosts(ctx, list)
+			b.acceptLeavingHosts(ctx, watch.Addr, list)
 			continue
 		}
 		resume = nil
@@ -123,7 +127,7 @@
 			if list.Waited > 0 {
 				b.log.Info().Float64("waited_ms", milliseconds(list.Waited)).Str("discovery", watch.Addr).Msg("late answer of discovery")
 			}
-			b.acceptHostList(ctx, list)
+			b.acceptHostList(ctx, watch.Addr, list)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -158,9 +162,9 @@
 	return elapsed
 }
 
-// acceptLeavingHosts applies the part of an answer that names hosts that leave, unless the watch has been stopped. Only hosts that are
-// known and not yet known to leave are of interest: the rest of the answer is not known yet.
-func (b *Balancer) acceptLeavingHosts(ctx context.Context, list discovery.List) {
+// acceptLeavingHosts applies the part of an answer of the discovery service at an address that names hosts that leave, unless the
+// watch has been stopped. Only hosts that are known and not yet known to leave are of interest: the rest of the answer is not known yet.
+func (b *Balancer) acceptLeavingHosts(ctx context.Context, addr string, list discovery.List) {
 	b.listSource.mu.Lock()
 	defer b.listSource.mu.Unlock()
 	if ctx.Err() != nil {
@@ -175,28 +179,29 @@
 	}
 	list = discovery.List{Generation: b.listSource.generation, Hosts: leaving, ReceivedAt: list.ReceivedAt}
 	b.applyHostList(policy.ListUpdate, list)
-	b.listSource.forwarder.forward(b.listSource.addr, list)
+	b.listSource.forwarder.forward(addr, list)
 }
 
-// acceptHostList applies an answer of discovery, unless the watch has been stopped. An answer that is older than the
-// known list, or that has unreadable entries, is completed from the known list first.
-func (b *Balancer) acceptHostList(ctx context.Context, list discovery.List) {
+// acceptHostList applies an answer of the discovery service at an address, unless the watch has been stopped. An answer that is older
+// than the known list, or that has unreadable entries, is completed from the known list first.
+func (b *Balancer) acceptHostList(ctx context.Context, addr string, list discovery.List) {
 	b.listSource.mu.Lock()
 	defer b.listSource.mu.Unlock()
 	if ctx.Err() != nil {
 		return
 	}
 	if unreadable := len(list.Unusable); unreadable > 0 {
-		b.log.Warn().Err(list.Unusable[0].Err).Int("entries", unreadable).Str("discovery", b.listSource.addr).Msg("entries of the list cannot be read, their hosts stay as they were")
+		b.log.Warn().Err(list.Unusable[0].Err).Int("entries", unreadable).Str("discovery", addr).Msg("entries of the list cannot be read, their hosts stay as they were")
 	}
 	if !list.IsSelfContained(b.listSource.generation) {
 		list = list.CompleteFrom(b.listSource.snapshot())
 	}
+	b.listSource.listedBy = addr
 	if list.Snapshot {
 		b.applyHostList(policy.ListReplace, list)
 	} else {
 		b.applyHostList(policy.ListUpdate, list)
 	}
-	b.listSource.forwarder.forward(b.listSource.addr, list)
+	b.listSource.forwarder.forward(addr, list)
 	b.listSource.readyOnce.Do(func() { close(b.listSource.ready) })
 }
--- a/internal/balancer/list_handover.go
+++ b/internal/balancer/list_handover.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	list.ReceivedAt = time.Now()
-	b.acceptHostList(b.ctx, list)
+	b.acceptHostList(b.ctx, addr, list)
 	return nil
 }
 
--- a/internal/balancer/list_source.go
+++ b/internal/balancer/list_source.go
@@ -19,6 +19,7 @@
 	ready      chan struct{}      // closed once there is a host list
 	readyOnce  sync.Once
 	generation int64
+	listedBy   string // the address of the discovery service that the list and its generation come from; "" if there is no list
 	hosts      map[policy.HostID]discovery.Host
 	resumeFrom *int64                                                            // generation of the list from before the watch, if the watch continues from it
 	forwarder  *listForwarder                                                    // passes lists on to the newer process of an upgrade; nil if there is none
@@ -64,6 +65,9 @@
 	return gone
 }
 
+// listAddr returns the address of the discovery service whose answers continue the known list. The caller holds mu.
+func (s *listSource) listAddr() string { return cmp.Or(s.listedBy, s.addr) }
+
 // snapshot returns the complete host list as it is known now. The caller holds mu.
 func (s *listSource) snapshot() discovery.List {
 	list := discovery.List{Generation: s.generation, Snapshot: true, Hosts: make([]discovery.Host, 0, len(s.hosts))}
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -206,7 +206,7 @@
 	b.listSource.mu.Lock()
 	state.List = b.discoveryNames().Format(b.listSource.snapshot())
 	if b.deployment.PolicyConfig.MustSubscribe {
-		state.ListAddr = b.listSource.addr
+		state.ListAddr = b.listSource.listAddr()
 		b.startForwardingLists(peer)
 	}
 	b.listSource.mu.Unlock()
