Let a newer process of an upgrade follow the discovery that a reload names

What callers saw: a newer process of an upgrade gets SIGHUP with another discovery while the older one serves on; it goes on with the older one's lists, from the discovery before, until that process ends. A host that leaves at the new one gets requests for as long.

Cause: Reload starts a watch only in place of another one, and a process that follows the older one has none; followOlderProcess did not look at the address.

Change: followOlderProcess ends when the address differs from the one that its lists come from; the process then asks for the whole list itself.

--- a/cmd/streamrail/upgrade_test.go
+++ b/cmd/streamrail/upgrade_test.go
@@ -469,6 +469,24 @@
 	}
 }
 
+// Guards against a newer process that goes on following the older one's lists after it has been told of another discovery service.
+func TestReloadDuringUpgrade(t *testing.T) {
+	before, after := newDiscoveryServer(t), newDiscoveryServer(t)
+	addr := newHost(t, "h", answerHit).addr
+	before.setHost("h", addr, "cache", "active")
+	after.setHost("h", addr, "cache", "leaving")
+	dir, config := shortDir(t), deploymentConfig(before, freeAddr(t), map[string]any{"discovery": "subscribe"})
+	launchReady(t, config, dir)
+	newer, newerAddr := launchReady(t, config, dir)
+	config["discovery"] = serverAddr(after.Server)
+	newer.reload(t, config, "configuration reloaded")
+	began := time.Now()
+	waitUntil(t, "the host is avoided", func() bool { return metric(t, newerAddr, "app_cluster_unhealthy") == 1 })
+	if took := time.Since(began); took > maxUpgradeNewsDelay {
+		t.Errorf("the host is avoided only %v after the newer process was told of the address", took)
+	}
+}
+
 // Guards against two processes of an upgrade that part because one of them stands still during an order: once it goes on, both obey it
 // and later orders.
 func TestOrderWhileOneStandsStill(t *testing.T) {
--- a/internal/balancer/list_handover.go
+++ b/internal/balancer/list_handover.go
@@ -100,7 +100,8 @@
 	}
 }
 
-// followOlderProcess applies the lists that the older process passes on, and asks discovery once that process has ended or is silent.
+// followOlderProcess applies the lists that the older process passes on, and asks discovery once that process has ended or is silent, or
+// a reload names another discovery service.
 func (b *Balancer) followOlderProcess(follower *listFollower) {
 	follower.noteMessage(time.Since(b.epoch))
 	defer b.continueWatch(follower.addr)
@@ -115,6 +116,9 @@
 				return
 			}
 		case <-ticker.C:
+			if b.listSource.currentAddr() != follower.addr { // by a reload
+				return
+			}
 			if silence := time.Since(b.epoch) - time.Duration(follower.lastMessage.Load()); silence > olderSilence {
 				b.log.Warn().Dur("silent_ms", silence).Msg("the older process is silent, asking discovery")
 				return
--- a/internal/balancer/list_source.go
+++ b/internal/balancer/list_source.go
@@ -65,6 +65,13 @@
 	return gone
 }
 
+// currentAddr returns the address of the discovery service to follow.
+func (s *listSource) currentAddr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
 // listAddr returns the address of the discovery service whose answers continue the known list. The caller holds mu.
 func (s *listSource) listAddr() string { return cmp.Or(s.listedBy, s.addr) }
 
