Close the connection of a call that is given up while it fails, without a crash

What would be seen: the process ends with a nil pointer when a call is given up in the moment in which it fails.

Cause: exchange set its variable conn to nil after a failed call; the function that closes the connection when the call is given up reads the same variable and may run just then.

Change: exchange returns instead of changing the variable.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -196,9 +196,9 @@
 	l, closes, err := w.converse(c, conn)
 	if !stop() || closes || err != nil || conn.reader.Buffered() > 0 { // data after the response belongs to no call
 		conn.Close()
-		conn = nil
+		return l, nil, err
 	}
-	return l, conn, err
+	return l, conn, nil
 }
 
 func (w *Watch) dial(ctx context.Context) (net.Conn, error) {
