--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -78,14 +78,13 @@
 	stage     callStage
 	lateAt    time.Time
 	firstAt   time.Time // when the first byte of the response arrived
-	lastAt    time.Time // when the last byte so far arrived
 	mark      time.Time // when the first byte arrived, or the last minProgressBytes were complete
 	sinceMark int       // bytes that have arrived since then
 	steady    bool      // minProgressBytes have been complete once
 }
 
-// minProgressBytes is how much of a response must arrive within Timeouts.Body; the text of some 25 hosts.
-const minProgressBytes = 4 << 10
+// minProgressBytes is how much of a response must arrive within Timeouts.Body; the text of some twelve hosts.
+const minProgressBytes = 2 << 10
 
 // callStage is how far a call has come.
 type callStage int
@@ -120,7 +119,6 @@
 	if p.stage != receiving {
 		p.stage, p.firstAt, p.mark = receiving, now, now
 	}
-	p.lastAt = now
 	if p.sinceMark += n; p.sinceMark >= minProgressBytes {
 		p.mark, p.sinceMark, p.steady = now, 0, true
 	}
@@ -130,11 +128,11 @@
 	}
 }
 
-// isReceiving reports whether a response is arriving, however slowly.
-func (p *progress) isReceiving(now time.Time) bool {
+// isSteady reports whether a response is arriving steadily.
+func (p *progress) isSteady(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stage == receiving && now.Sub(p.lastAt) < p.timeouts.Read
+	return p.steady && now.Before(p.lateAt)
 }
 
 // currentStage returns how far the call has come.
--- a/internal/discovery/timeouts.go
+++ b/internal/discovery/timeouts.go
@@ -20,6 +20,7 @@
 	Connect                  time.Duration // to open the connection
 	FirstRetryDelay          time.Duration // delay after a failed call; doubled with each further failure, up to MaxRetryDelay
 	MaxRetryDelay            time.Duration // upper bound of that delay
+	OpenCalls                int           // how many calls may be open at a time: the latest one, and earlier ones whose response is late
 }
 
 const (
@@ -31,14 +32,18 @@
 // a local agent, calls to it do not load discovery, and the balancer counts as notified of what the agent has whether or not
 // a watch is open.
 func NewTimeouts(grace time.Duration, pushed bool) Timeouts {
-	t := Timeouts{ResponseGrace: maxNotificationDelay / 6, SnapshotResponse: maxNotificationDelay / 2, Read: maxNotificationDelay / 4, Body: maxNotificationDelay * 5 / 6}
+	t := Timeouts{ResponseGrace: maxNotificationDelay / 6, SnapshotResponse: maxNotificationDelay / 2, Read: maxNotificationDelay / 4}
 	if pushed { // two watches in a row may get no response; the grace is left for the third
 		t.LongPoll = maxNotificationDelay / 3
+		t.Body = maxNotificationDelay / 3
+		t.OpenCalls = 6
 		t.RepeatedSnapshotResponse = t.SnapshotResponse
 		t.Connect = grace / 4
 		t.MaxRetryDelay = max(minDelay, min(grace/4, maxRetryDelay))
 	} else { // each call loads discovery, so poll as rarely as leaves 1/6 and the grace for the call after an unresponsive one
 		t.LongPoll = maxNotificationDelay * 2 / 3
+		t.Body = maxNotificationDelay / 2
+		t.OpenCalls = 5 // each one loads discovery, and the next one follows later
 		t.RepeatedSnapshotResponse = maxNotificationDelay * 5 / 6
 		t.Connect = (maxNotificationDelay/6 + grace) / 4
 		t.MaxRetryDelay = maxRetryDelay
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,9 +17,7 @@
 var ErrRetryNow = errors.New("asked anew at once")
 
 const (
-	// maxOpenCalls is how many calls may be open at a time: the latest one, and earlier ones whose response is late.
-	maxOpenCalls = 4
-	// keptCalls is how many of them, the oldest ones, stay open for Watch.patience at least: a slow response comes to them first.
+	// keptCalls is how many of the open calls, the oldest ones, stay open for Watch.patience at least: a slow response comes to them first.
 	keptCalls = 2
 	// firstPatience is doubled each time that the oldest call is given up, up to maxPatience, until there is a response.
 	firstPatience = 30 * time.Second
@@ -163,7 +161,7 @@
 
 // makeRoom gives up a call if there are as many as may be open.
 func (w *Watch) makeRoom(now time.Time) {
-	if len(w.open) < maxOpenCalls {
+	if len(w.open) < w.Timeouts.OpenCalls {
 		return
 	}
 	w.patience = max(w.patience, firstPatience)
@@ -176,15 +174,15 @@
 }
 
 // leastPromising returns the position of the call to give up. The oldest calls have the best prospect of a slow response, but may have
-// been lost with their connections, so they are kept for a limited time only. A call whose response is arriving is not given up
-// unless that holds for all others too.
+// been lost with their connections, so they are kept for a limited time only. A call whose response arrives steadily is not
+// given up unless that holds for all others too.
 func (w *Watch) leastPromising(now time.Time) int {
 	first := keptCalls
 	if now.Sub(w.open[0].startedAt) >= w.patience {
 		first = 0
 	}
 	for i := first; i < len(w.open); i++ {
-		if !w.open[i].progress.isReceiving(now) {
+		if !w.open[i].progress.isSteady(now) {
 			return i
 		}
 	}
