Keep slow first lists arriving at a discovery that shares its speed between calls

Cause: a call whose answer brings less than 2 KiB in 2 or 3 s counts as late whatever arrives, and was given up like one that brings nothing.

Change: the first call whose answer arrives at all is kept; while no list is known, two answers that arrive put further calls off. Once they stop for 1.5 s the next call is made.

TestStoppedFirstListsAskedAgain fails when the wait is not cut to 1.5 s.

--- a/internal/balancer/slow_discovery_test.go
+++ b/internal/balancer/slow_discovery_test.go
@@ -111,6 +111,33 @@
 	}
 }
 
+// TestStoppedFirstListsAskedAgain guards against a start that goes on waiting for two lists that came slowly and have stopped.
+func TestStoppedFirstListsAskedAgain(t *testing.T) {
+	for _, mode := range []string{"pushed", "asked"} {
+		t.Run(mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDiscovery{began: time.Now(), changed: make(chan struct{}), done: make(chan struct{}), respond: func(n int, to net.Conn, text string) bool {
+					if n > 2 {
+						return answer(to, text)
+					}
+					for i := range 20 {
+						answer(to, text[i:i+1])
+						time.Sleep(time.Second)
+					}
+					return false
+				}}
+				b := startFollowing(d.dial, mode, time.Second, 1)
+				defer endFollowing(b, d)
+				select {
+				case <-b.listSource.ready:
+				case <-time.After(40 * time.Second): // the second one stops after 28 s at the latest, and the policy takes up to 5 s
+					t.Errorf("no list; requests at %v", d.requestTimes)
+				}
+			})
+		})
+	}
+}
+
 // TestSlowWatchHeard guards against giving up each watch after the same time: where every answer to a watch came later than that, no
 // change was ever heard of.
 func TestSlowWatchHeard(t *testing.T) {
@@ -138,6 +165,36 @@
 	}
 }
 
+// TestSlowListAfterUnknownGeneration guards against giving up the whole list that is needed when discovery no longer knows the generation
+// that a watch names.
+func TestSlowListAfterUnknownGeneration(t *testing.T) {
+	const delay, drainAt, grace = 4500 * time.Millisecond, time.Second, time.Second
+	for _, mode := range []string{"pushed", "asked"} {
+		t.Run(mode, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDiscovery{respond: func(n int, to net.Conn, text string) bool {
+					if n > 1 && !isWhole(text) {
+						return answer(to, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+					}
+					if n > 1 {
+						time.Sleep(delay)
+					}
+					return answer(to, text)
+				}}
+				b := newFollowingBalancer(t, d, mode, grace, 1)
+				defer endFollowing(b, d)
+				time.Sleep(drainAt)
+				d.change(func() { d.draining = true })
+				time.Sleep(6*time.Second + grace*9/10)
+				synctest.Wait()
+				if b.avoidedHosts() != 1 {
+					t.Errorf("host not avoided; requests at %v", d.requestTimes)
+				}
+			})
+		})
+	}
+}
+
 // TestOpenCallsBounded checks how many calls one balancer has open at a discovery that never answers, and makes there, and that none is
 // left open after a move to another address or at the end.
 func TestOpenCallsBounded(t *testing.T) {
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -78,6 +78,7 @@
 	stage     callStage
 	lateAt    time.Time
 	firstAt   time.Time // when the first byte of the response arrived
+	lastAt    time.Time // when the last byte so far arrived
 	mark      time.Time // when the first byte arrived, or the last minProgressBytes were complete
 	sinceMark int       // bytes that have arrived since then
 	steady    bool      // minProgressBytes have been complete once
@@ -119,6 +120,7 @@
 	if p.stage != receiving {
 		p.stage, p.firstAt, p.mark = receiving, now, now
 	}
+	p.lastAt = now
 	if p.sinceMark += n; p.sinceMark >= minProgressBytes {
 		p.mark, p.sinceMark, p.steady = now, 0, true
 	}
@@ -135,6 +137,13 @@
 	return p.steady && now.Before(p.lateAt)
 }
 
+// isArriving reports whether a response is arriving, however slowly.
+func (p *progress) isArriving(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage == receiving && now.Sub(p.lastAt) < p.timeouts.Read
+}
+
 // currentStage returns how far the call has come.
 func (p *progress) currentStage() callStage {
 	p.mu.Lock()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -63,7 +63,7 @@
 	for {
 		var late <-chan time.Time
 		if resume == nil {
-			late = time.After(time.Until(w.lateAt()))
+			late = time.After(w.untilLate())
 		}
 		select {
 		case r := <-w.responses:
@@ -106,16 +106,35 @@
 }
 
 // lateAt returns the time from which on a response is late: that of the latest call, or that of an earlier one whose response arrives
-// steadily. It is the zero time if no call is open.
+// steadily. It is the zero time if no call is open. While no list is known no change can be missed, and discovery may be slow because
+// many balancers wait for their first list, so two responses that arrive, however slowly, put off further calls.
 func (w *Watch) lateAt() (lateAt time.Time) {
+	now, arriving := time.Now(), 0
 	for i, c := range w.open {
 		if at, steady := c.progress.lateness(); (steady || i == len(w.open)-1) && at.After(lateAt) {
 			lateAt = at
 		}
+		if c.progress.isArriving(now) {
+			arriving++
+		}
+	}
+	if !w.HasList && arriving > 1 {
+		if putOffUntil := w.open[len(w.open)-1].startedAt.Add(maxPatience); putOffUntil.After(lateAt) {
+			lateAt = putOffUntil
+		}
 	}
 	return lateAt
 }
 
+// untilLate returns how long to wait until a response may be late. Without a list a response that stops may bring that forward.
+func (w *Watch) untilLate() time.Duration {
+	wait := time.Until(w.lateAt())
+	if !w.HasList {
+		wait = min(wait, w.Timeouts.Read)
+	}
+	return wait
+}
+
 // expectsResponse reports whether a call is open whose response is not late.
 func (w *Watch) expectsResponse() bool { return w.lateAt().After(time.Now()) }
 
@@ -174,15 +193,16 @@
 }
 
 // leastPromising returns the position of the call to give up. The oldest calls have the best prospect of a slow response, but may have
-// been lost with their connections, so they are kept for a limited time only. A call whose response arrives steadily is not
-// given up unless that holds for all others too.
+// been lost with their connections, so they are kept for a limited time only. Calls whose responses arrive steadily are kept, and so is
+// the first one whose response arrives at all, unless that leaves none to give up.
 func (w *Watch) leastPromising(now time.Time) int {
 	first := keptCalls
 	if now.Sub(w.open[0].startedAt) >= w.patience {
 		first = 0
 	}
+	firstArriving := slices.IndexFunc(w.open, func(c *call) bool { return c.progress.isArriving(now) })
 	for i := first; i < len(w.open); i++ {
-		if !w.open[i].progress.isSteady(now) {
+		if i != firstArriving && !w.open[i].progress.isSteady(now) {
 			return i
 		}
 	}
