Give up a call to discovery after two minutes in which nothing of its answer has come

Cause: the stand-in never answers a watch without a change, whatever wait_ms says, and httptest's Close waits for open calls. The watch that was late was kept open, and as later calls were refused at once, nothing ever asked for its place: a call could stay open for ever.

Change: a call is given up after two minutes in which nothing of its answer has come. The stand-in of cmd/streamrail answers when the time of a watch is over, as the protocol page says ("or so many milliseconds have passed"); what the tests check is as before.

--- a/cmd/streamrail/harness_test.go
+++ b/cmd/streamrail/harness_test.go
@@ -141,7 +141,8 @@
 // answerWith returns an answer function that sends the same text each time.
 func answerWith(text string) func(command) string { return func(command) string { return text } }
 
-// discoveryServer is a stand-in for discovery. It serves the host list and holds watches (long polls) until the list changes.
+// discoveryServer is a stand-in for discovery. It serves the host list and holds watches (long polls) until the list changes or the time is
+// over that they name.
 type discoveryServer struct {
 	*httptest.Server
 	mu            sync.Mutex
@@ -192,8 +193,10 @@
 
 func (d *discoveryServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after := -1
+	var waitMs int
 	if s := r.URL.Query().Get("after"); s != "" {
 		after, _ = strconv.Atoi(s)
+		waitMs, _ = strconv.Atoi(r.URL.Query().Get("wait_ms"))
 		d.watchedFrom <- after
 	}
 	d.mu.Lock()
@@ -201,6 +204,7 @@
 		d.mu.Unlock()
 		select {
 		case <-nextChange:
+		case <-time.After(time.Duration(waitMs) * time.Millisecond):
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -21,7 +21,8 @@
 	keptCalls = 2
 	// firstPatience is doubled each time that the oldest call is given up, up to maxPatience, until there is a response.
 	firstPatience = 30 * time.Second
-	maxPatience   = 2 * time.Minute
+	// maxPatience is how long a call stays open at most while nothing of its response arrives.
+	maxPatience = 2 * time.Minute
 )
 
 // Watch requests the host list and then, by long polling, its changes. A call that is late is not given up when the next one is made:
@@ -178,8 +179,15 @@
 	go w.carryOut(ctx, c, conn)
 }
 
-// makeRoom gives up a call if there are as many as may be open.
+// makeRoom gives up the calls that have been open for too long, and one more if there are as many as may be open.
 func (w *Watch) makeRoom(now time.Time) {
+	w.open = slices.DeleteFunc(w.open, func(c *call) bool {
+		isTooOld := now.Sub(c.startedAt) >= maxPatience && !c.progress.isArriving(now)
+		if isTooOld {
+			c.cancel()
+		}
+		return isTooOld
+	})
 	if len(w.open) < w.Timeouts.OpenCalls {
 		return
 	}
